--- /dev/null
+++ b/event/events.go
@@ -0,0 +1,127 @@
+// Package event defines the numbered log events of loomcleat and a logger that
+// writes them through hclog.
+//
+// Numbers are stable across versions, so that alerts can be written against
+// them. docs/EVENTS.md is checked against Catalogue by a test.
+package event
+
+// Number identifies a log event.
+type Number int
+
+// Events of the process life cycle.
+const (
+	ProcessStarting Number = 100
+	ProcessReady    Number = 101
+	ProcessDraining Number = 102
+	ProcessStopped  Number = 103
+	StartFailed     Number = 104
+	DrainTimedOut   Number = 105
+	LibraryMessage  Number = 106
+)
+
+// Events of policy distribution.
+const (
+	PolicyAdopted     Number = 200
+	PolicyRejected    Number = 201
+	StoreUnreachable  Number = 202
+	StoreRecovered    Number = 203
+	PolicyOlderSeen   Number = 204
+	PolicyWatchActive Number = 205
+)
+
+// Events of membership.
+const (
+	MemberJoined    Number = 300
+	MemberSuspected Number = 301
+	MemberDead      Number = 302
+	MemberLeaving   Number = 303
+	SelfRefuted     Number = 304
+	PeerUnreachable Number = 305
+	MachineListDown Number = 306
+)
+
+// Events of request traffic.
+const (
+	BackendDown       Number = 400
+	BackendUp         Number = 401
+	BackendDraining   Number = 402
+	NodeEjected       Number = 403
+	NodeRestored      Number = 404
+	AnswerMismatch    Number = 405
+	RequestPanic      Number = 406
+	AdmissionLevelSet Number = 407
+)
+
+// Events of at-most-once claims.
+const (
+	ClaimGroupAdopted     Number = 500
+	ClaimGroupSynced      Number = 501
+	ClaimGroupPlanned     Number = 502
+	ClaimGroupPlanFailed  Number = 503
+	ClaimMajorityLost     Number = 504
+	ClaimOutcomeUncertain Number = 505
+)
+
+// Definition describes one event.
+type Definition struct {
+	Number Number
+	Name   string
+	Level  string // info, warn or error
+	Text   string
+}
+
+// Catalogue lists every event in ascending order.
+var Catalogue = []Definition{
+	{ProcessStarting, "process-starting", "info", "The process has checked its settings and bound its listeners."},
+	{ProcessReady, "process-ready", "info", "The process knows the policy in force and accepts requests."},
+	{ProcessDraining, "process-draining", "info", "The process was told to stop: it announces this, refuses new requests and finishes those in flight."},
+	{ProcessStopped, "process-stopped", "info", "The process has ended in order."},
+	{StartFailed, "start-failed", "error", "The process could not start; the numbered result says why."},
+	{DrainTimedOut, "drain-timed-out", "warn", "Requests were still in flight when the drain timeout passed and were cut off."},
+	{LibraryMessage, "library-message", "info", "A message of the HTTP framework."},
+	{PolicyAdopted, "policy-adopted", "info", "A higher policy revision is in force in this process."},
+	{PolicyRejected, "policy-rejected", "error", "A policy document failed its check; the revision before it stays in force."},
+	{StoreUnreachable, "store-unreachable", "warn", "The key-value store does not answer; the last policy stays in force and the read is retried."},
+	{StoreRecovered, "store-recovered", "info", "The key-value store answers again."},
+	{PolicyOlderSeen, "policy-older-seen", "warn", "The store or a peer showed an older policy revision, which was ignored."},
+	{PolicyWatchActive, "policy-watch-active", "info", "This process started or stopped watching the store on behalf of its peers."},
+	{MemberJoined, "member-joined", "info", "A process joined the mesh."},
+	{MemberSuspected, "member-suspected", "warn", "A member did not answer probes."},
+	{MemberDead, "member-dead", "warn", "A member was declared dead."},
+	{MemberLeaving, "member-leaving", "info", "A member announced that it is leaving, or the machine list says so."},
+	{SelfRefuted, "self-refuted", "warn", "This process learned that it was suspected and announced that it is alive."},
+	{PeerUnreachable, "peer-unreachable", "warn", "A seed address did not answer; it is tried again."},
+	{MachineListDown, "machine-list-down", "warn", "The machine list does not answer; members known so far are kept."},
+	{BackendDown, "backend-down", "warn", "The back end beside this node refuses connections."},
+	{BackendUp, "backend-up", "info", "The back end beside this node accepts connections again."},
+	{BackendDraining, "backend-draining", "info", "The back end beside this node said that it is draining."},
+	{NodeEjected, "node-ejected", "warn", "A node failed repeatedly and is avoided for a while."},
+	{NodeRestored, "node-restored", "info", "A node that was avoided answered a probe request."},
+	{AnswerMismatch, "answer-mismatch", "error", "An answer did not carry the identity of its request; the connection was closed."},
+	{RequestPanic, "request-panic", "error", "A request handler panicked; the request failed and the process goes on."},
+	{AdmissionLevelSet, "admission-level-set", "info", "The admission level of this node entered or left the state of overload."},
+	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
+	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
+	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
+	{ClaimGroupPlanFailed, "claim-group-plan-failed", "warn", "A new epoch of the claim groups could not be written; it is tried again."},
+	{ClaimMajorityLost, "claim-majority-lost", "error", "A claim group has lost a majority of its replicas; its requests are refused until claims have expired."},
+	{ClaimOutcomeUncertain, "claim-outcome-uncertain", "warn", "A request that may not be repeated ended without a known outcome."},
+}
+
+var byNumber = func() map[Number]Definition {
+	index := make(map[Number]Definition, len(Catalogue))
+	for _, definition := range Catalogue {
+		index[definition.Number] = definition
+	}
+	return index
+}()
+
+// Definition returns the catalogue row of n. It panics for a number that is not
+// in the catalogue, which the catalogue test rules out for the constants above.
+func (n Number) Definition() Definition {
+	definition, ok := byNumber[n]
+	if !ok {
+		panic("event: number is not in the catalogue")
+	}
+	return definition
+}
--- /dev/null
+++ b/policy/document.go
@@ -0,0 +1,203 @@
+// Package policy is the operators' settings tree: teams contain service
+// families, families contain services, services contain call paths. Each entry
+// inherits from the one above it and overrides only what differs.
+//
+// The tree is one Document with a revision, kept in the platform's store. The
+// package decides; it does no I/O. Editing is Document.Apply, which returns a
+// checked copy; reading is Index.Resolve, which gives the Effective settings
+// of one call.
+package policy
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// Duration is a time.Duration that is written as text such as "250ms".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Settings are the values that one entry of the tree sets. A nil field is
+// inherited.
+type Settings struct {
+	// Class is the importance of user requests that enter the mesh through
+	// this entry. Default "default".
+	Class *Class `json:"class,omitempty"`
+	// Repeatable says that running a request again does no harm. When no entry
+	// sets it, safe methods (GET, HEAD, OPTIONS) are repeatable, others are not.
+	Repeatable *bool `json:"repeatable,omitempty"`
+	// RetryBudget is the number of retries that one user request may cause in
+	// the whole call graph, 0 to 32. Default 3.
+	RetryBudget *int `json:"retry_budget,omitempty"`
+	// RetryRatio bounds the retries to one service as a share of its calls,
+	// 0 to 1. Default 0.1.
+	RetryRatio *float64 `json:"retry_ratio,omitempty"`
+	// Deadline is the time that a user request has, 1ms to 10m. Default 10s.
+	Deadline *Duration `json:"deadline,omitempty"`
+	// ConcurrencyMin is the lowest limit of calls in flight to one back end
+	// that the adaptive limit may reach, 1 to 10000. Default 2.
+	ConcurrencyMin *int `json:"concurrency_min,omitempty"`
+	// ConcurrencyMax is the highest such limit, 1 to 10000. Default 200.
+	ConcurrencyMax *int `json:"concurrency_max,omitempty"`
+	// QueueTime is how long a request may wait beside a back end before it is
+	// refused, 0s to 10s. Default 50ms.
+	QueueTime *Duration `json:"queue_time,omitempty"`
+}
+
+// Edit records one accepted change of the tree.
+type Edit struct {
+	ID       string    `json:"id"`
+	Revision uint64    `json:"revision"`
+	Author   string    `json:"author,omitempty"`
+	Time     time.Time `json:"time"`
+	Changes  []Change  `json:"changes"`
+}
+
+// HistoryLimit is the number of edits that a Document remembers. An edit id is
+// looked up in this list when the store's answer to its write was lost.
+const HistoryLimit = 128
+
+// Document is the whole tree as it is kept in the store.
+type Document struct {
+	Revision uint64              `json:"revision"`
+	Entries  map[string]Settings `json:"entries"` // by path, see ParsePath
+	History  []Edit              `json:"history,omitempty"`
+}
+
+// Decode reads a Document and checks it.
+func Decode(data []byte) (*Document, error) {
+	document := &Document{}
+	if err := json.Unmarshal(data, document); err != nil {
+		return nil, result.Wrap(result.PolicyInvalid, err, "the policy document is not valid JSON")
+	}
+	if err := document.Check(); err != nil {
+		return nil, err
+	}
+	return document, nil
+}
+
+// Encode writes the Document as JSON.
+func (d *Document) Encode() ([]byte, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, result.Wrap(result.Internal, err, "encoding the policy document")
+	}
+	return data, nil
+}
+
+// FindEdit returns the recorded edit with the given id.
+func (d *Document) FindEdit(id string) (Edit, bool) {
+	for _, edit := range d.History {
+		if edit.ID == id {
+			return edit, true
+		}
+	}
+	return Edit{}, false
+}
+
+// Paths returns the paths of all entries in order.
+func (d *Document) Paths() []string {
+	paths := make([]string, 0, len(d.Entries))
+	for path := range d.Entries {
+		paths = append(paths, path)
+	}
+	sort.Strings(paths)
+	return paths
+}
+
+// clone copies d deeply enough that Apply may change the copy.
+func (d *Document) clone() *Document {
+	copied := &Document{Revision: d.Revision, Entries: make(map[string]Settings, len(d.Entries))}
+	for path, settings := range d.Entries {
+		copied.Entries[path] = settings
+	}
+	copied.History = append(copied.History, d.History...)
+	return copied
+}
+
+// Path is a parsed entry path.
+type Path struct {
+	Team    string
+	Family  string
+	Service string
+	Call    *Pattern // nil above the level of call paths
+}
+
+// RootPath is the path of the entry that everything inherits from.
+const RootPath = "/"
+
+// ParsePath reads a path of one of the forms
+//
+//	/                                 the root
+//	team
+//	team/family
+//	team/family/service
+//	team/family/service METHOD /path  a call path, see Pattern
+func ParsePath(text string) (Path, error) {
+	if text == RootPath {
+		return Path{}, nil
+	}
+	names, call, hasCall := strings.Cut(text, " ")
+	parts := strings.Split(names, "/")
+	if len(parts) > 3 {
+		return Path{}, result.New(result.PolicyInvalid, "path %q has %d names; at most team/family/service is allowed", text, len(parts))
+	}
+	for _, part := range parts {
+		if !validName(part) {
+			return Path{}, result.New(result.PolicyInvalid, "path %q: the name %q must consist of 1 to 63 of a-z, 0-9 and '-'", text, part)
+		}
+	}
+	path := Path{Team: parts[0]}
+	if len(parts) > 1 {
+		path.Family = parts[1]
+	}
+	if len(parts) > 2 {
+		path.Service = parts[2]
+	}
+	if !hasCall {
+		return path, nil
+	}
+	if path.Service == "" {
+		return Path{}, result.New(result.PolicyInvalid, "path %q: a call path must stand below team/family/service", text)
+	}
+	pattern, err := ParsePattern(call)
+	if err != nil {
+		return Path{}, err
+	}
+	path.Call = &pattern
+	return path, nil
+}
+
+const maximumNameLength = 63
+
+func validName(name string) bool {
+	if name == "" || len(name) > maximumNameLength {
+		return false
+	}
+	for _, letter := range name {
+		isLower := letter >= 'a' && letter <= 'z'
+		isDigit := letter >= '0' && letter <= '9'
+		if !isLower && !isDigit && letter != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/result/error.go
@@ -0,0 +1,120 @@
+package result
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Error is the error type of loomcleat. It carries a numbered code, a message
+// for people and, for refusals, the time after which asking again makes sense.
+type Error struct {
+	Code       Code
+	Message    string
+	RetryAfter time.Duration // 0 when the caller is told nothing
+	Cause      error         // nil when there is none
+	// Ran is true when an earlier attempt of the same request may have run, so
+	// that the error must not be reported as not-run whatever its code says.
+	Ran bool
+}
+
+// New returns an Error with a formatted message.
+func New(code Code, format string, arguments ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// Wrap returns an Error that keeps cause for errors.Is and errors.As.
+func Wrap(code Code, cause error, format string, arguments ...any) *Error {
+	wrapped := New(code, format, arguments...)
+	wrapped.Cause = cause
+	return wrapped
+}
+
+// WithRetryAfter sets the time after which the caller may ask again.
+func (e *Error) WithRetryAfter(wait time.Duration) *Error {
+	e.RetryAfter = wait
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%d %s: %s", int(e.Code), e.Code.Definition().Name, e.Message)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// NotRun reports whether the request certainly did not run anywhere.
+func (e *Error) NotRun() bool {
+	return e.Code.Definition().NotRun && !e.Ran
+}
+
+// From converts any error to an *Error. Errors of other types become Internal.
+func From(err error) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return Wrap(Internal, err, "unexpected error")
+}
+
+// Body is the JSON body that accompanies an error on the wire.
+type Body struct {
+	Code    Code   `json:"code"`
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	NotRun  bool   `json:"not_run"`
+}
+
+// Header names that accompany an error on the wire.
+const (
+	HeaderCode    = "Loomcleat-Result"
+	HeaderOutcome = "Loomcleat-Outcome"
+)
+
+// Values of HeaderOutcome.
+const (
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+// Outcome returns the value of HeaderOutcome for e.
+func (e *Error) Outcome() string {
+	if e.NotRun() {
+		return OutcomeNotRun
+	}
+	return OutcomeUnknown
+}
+
+// WriteHTTP sends e as an HTTP response: numbered header, outcome header,
+// Retry-After in whole seconds (rounded up) and a small JSON body.
+func (e *Error) WriteHTTP(w http.ResponseWriter) {
+	definition := e.Code.Definition()
+	header := w.Header()
+	header.Set(HeaderCode, strconv.Itoa(int(e.Code)))
+	header.Set(HeaderOutcome, e.Outcome())
+	header.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	body, err := json.Marshal(Body{Code: e.Code, Name: definition.Name, Message: e.Message, NotRun: e.NotRun()})
+	if err != nil {
+		body = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	status := definition.Status
+	if status == 0 {
+		status = http.StatusInternalServerError
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/retrybudget/account_test.go
@@ -0,0 +1,163 @@
+package retrybudget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestAccount(t *testing.T) {
+	cases := []struct {
+		name  string
+		grant int
+		steps func(*Account)
+		left  int
+	}{
+		{"negative grant is none", -1, func(*Account) {}, 0},
+		{"spend", 2, func(a *Account) { a.Spend() }, 1},
+		{"spend more than there is", 1, func(a *Account) { a.Spend(); a.Spend() }, 0},
+		{"lend half rounded up", 3, func(a *Account) { a.Lend() }, 1},
+		{"the last one is lent", 1, func(a *Account) { a.Lend() }, 0},
+		{"repay", 3, func(a *Account) { a.Repay(a.Lend(), 2) }, 3},
+		{"repay more than lent", 3, func(a *Account) { a.Repay(a.Lend(), 99) }, 3},
+		{"repay less than nothing", 3, func(a *Account) { a.Repay(a.Lend(), -5) }, 1},
+		{"repay after close is lost", 3, func(a *Account) { l := a.Lend(); a.Close(); a.Repay(l, l) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			account := Open(c.grant)
+			c.steps(account)
+			is.Equal(account.Left(), c.left)
+		})
+	}
+}
+
+func TestCloseReturnsTheRestOnce(t *testing.T) {
+	is := is.New(t)
+	account := Open(4)
+	is.Equal(account.Close(), 4)
+	is.Equal(account.Close(), 0)
+	is.True(!account.Spend())
+	is.Equal(account.Lend(), 0)
+}
+
+// graph plays a user request through a random call graph in which calls fail
+// and answers are lost at random. It counts all retries that are made.
+type graph struct {
+	t       *rapid.T
+	retries int
+	calls   int
+}
+
+const maximumCalls = 4000 // bounds the time of one random graph
+
+// run is one execution of a service at the given depth.
+func (g *graph) run(loan, depth int) (unspent int, ok bool) {
+	account := Open(loan)
+	g.calls++
+	ok = rapid.Bool().Draw(g.t, "ok")
+	children := rapid.IntRange(0, 3).Draw(g.t, "children")
+	if depth == 0 || g.calls > maximumCalls {
+		children = 0
+	}
+	for range children {
+		ok = g.call(account, depth-1) && ok
+	}
+	return account.Close(), ok
+}
+
+// call makes one call with retries, as a node does for its back end.
+func (g *graph) call(account *Account, depth int) bool {
+	for {
+		loan := account.Lend()
+		unspent, ok := g.run(loan, depth)
+		answerLost := rapid.IntRange(0, 3).Draw(g.t, "lost") == 0
+		if !answerLost {
+			account.Repay(loan, unspent)
+		}
+		if ok && !answerLost {
+			return true
+		}
+		if !account.Spend() {
+			return false
+		}
+		g.retries++
+	}
+}
+
+func TestRetriesStayWithinTheGrantInAnyCallGraph(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grant := rapid.IntRange(0, 8).Draw(t, "grant")
+		depth := rapid.IntRange(1, 6).Draw(t, "depth")
+		g := &graph{t: t}
+		g.call(Open(grant), depth)
+		if g.retries > grant {
+			t.Fatalf("%d retries with a grant of %d", g.retries, grant)
+		}
+	})
+}
+
+// countRetries plays the worst case, in which everything fails and no answer
+// is lost.
+func countRetries(account *Account, depth, width int, retries *int) {
+	for {
+		loan := account.Lend()
+		callee := Open(loan)
+		if depth > 1 {
+			for range width {
+				countRetries(callee, depth-1, width, retries)
+			}
+		}
+		account.Repay(loan, callee.Close())
+		if !account.Spend() {
+			return
+		}
+		*retries++
+	}
+}
+
+func TestRetriesInDeepAndWideGraphsWhereEverythingFails(t *testing.T) {
+	cases := []struct{ grant, depth, width int }{
+		{3, 21, 1}, {32, 21, 1}, {3, 4, 8}, {8, 5, 8}, {0, 21, 1},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("grant %d depth %d width %d", c.grant, c.depth, c.width), func(t *testing.T) {
+			is := is.New(t)
+			retries := 0
+			countRetries(Open(c.grant), c.depth, c.width, &retries)
+			is.Equal(retries, c.grant) // all of the grant is used and no more
+		})
+	}
+}
+
+func TestRatio(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	ratio := NewRatio(now)
+	allowed := 0
+	for range 1000 {
+		ratio.Call(now, 0.1)
+		if ratio.Retry(now) {
+			allowed++
+		}
+	}
+	is.True(allowed >= 100)            // a tenth of the calls
+	is.True(allowed <= 100+ratioBurst) // and the burst
+	is.True(!ratio.Retry(now))
+	is.True(ratio.Retry(now.Add(2 * time.Second))) // the minimum rate
+}
+
+func ExampleAccount() {
+	gateway := Open(3)
+	loan := gateway.Lend() // goes along with the call
+	callee := Open(loan)   // in the process that serves the call
+	callee.Spend()         // it makes one retry of a call of its own
+	unspent := callee.Close()
+	gateway.Repay(loan, unspent)
+	fmt.Println(loan, unspent, gateway.Left())
+	// Output: 2 1 2
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// UnmarshalYAML reads a duration with its unit.
+func (d *Duration) UnmarshalYAML(data []byte) error {
+	text := strings.Trim(strings.TrimSpace(string(data)), `"'`)
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%q is not a duration; allowed: a number with a unit, such as 250ms, 2s or 10m", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Load reads the settings file over the defaults of role. It checks the form
+// of the file only; call Check once flags have been applied.
+func Load(role Role, file string) (Settings, Lines, error) {
+	loaded := Default(role)
+	if file == "" {
+		return loaded, Lines{}, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return loaded, Lines{}, result.Wrap(result.SettingsInvalid, err, "reading the settings file")
+	}
+	lines := findLines(file, data)
+	if len(strings.TrimSpace(string(data))) == 0 {
+		return loaded, lines, nil
+	}
+	if err := yaml.UnmarshalWithOptions(data, &loaded, yaml.Strict()); err != nil {
+		return loaded, lines, decodeError(file, err)
+	}
+	return loaded, lines, nil
+}
+
+// decodeError turns an error of the YAML library into one line that names file,
+// line and what is allowed.
+func decodeError(file string, err error) error {
+	line := 0
+	message := err.Error()
+	var typed yaml.Error
+	if errors.As(err, &typed) {
+		message = typed.GetMessage()
+		if token := typed.GetToken(); token != nil {
+			line = token.Position.Line
+		}
+	}
+	if strings.HasPrefix(message, "unknown field") {
+		message += "; allowed: " + strings.Join(keys(), ", ")
+	}
+	return result.New(result.SettingsInvalid, "%s:%d: %s", file, line, message)
+}
+
+// Lines knows the line of each key of a settings file, for error messages.
+type Lines struct {
+	file  string
+	lines map[string]int
+}
+
+// At returns "file:line" of a key, or the key's name when it was not in a file.
+func (l Lines) At(key string) string {
+	if line, ok := l.lines[key]; ok {
+		return fmt.Sprintf("%s:%d", l.file, line)
+	}
+	return "--" + strings.ReplaceAll(key, "_", "-")
+}
+
+func findLines(file string, data []byte) Lines {
+	found := Lines{file: file, lines: map[string]int{}}
+	parsed, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return found
+	}
+	for _, document := range parsed.Docs {
+		mapping, ok := document.Body.(*ast.MappingNode)
+		if !ok {
+			continue
+		}
+		for _, value := range mapping.Values {
+			token := value.Key.GetToken()
+			found.lines[token.Value] = token.Position.Line
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,147 @@
+// Package settings reads and checks the settings file of one process.
+//
+// The file is YAML. Unknown keys, wrong units and values out of range are
+// reported with file and line, and the process does not start.
+package settings
+
+import "time"
+
+// Role selects what a process does.
+type Role string
+
+// Roles.
+const (
+	RoleNode    Role = "node"    // beside one back end
+	RoleGateway Role = "gateway" // the door for callers
+)
+
+// Settings configures one process. Addresses are host:port; port 0 picks a
+// free port.
+type Settings struct {
+	// Role is set by the command, not by the file.
+	Role Role `yaml:"-"`
+
+	// ID names this process in the mesh. It must be new at each start, because
+	// a restarted process has lost its memory. Default: random.
+	ID string `yaml:"id"`
+
+	// Region is the name of the region, 1 to 63 of a-z, 0-9 and '-'. Default
+	// "default". Regions are assumed to be far apart.
+	Region string `yaml:"region"`
+
+	// Zone is the name of the failure zone, of the same form. Default
+	// "default". Claims are spread over zones; calls prefer their own zone.
+	Zone string `yaml:"zone"`
+
+	// Service is the service of the back end. Nodes only, required.
+	Service string `yaml:"service"`
+
+	// Backend is the address of the back end. Nodes only, required.
+	Backend string `yaml:"backend"`
+
+	// BackendHealthPath is a path of the back end that answers 503 with the
+	// word "draining" while the back end leaves. Empty: not asked. Health
+	// never takes a back end out for any other reason, since it lags and may
+	// mislead. Default "".
+	BackendHealthPath string `yaml:"backend_health_path"`
+
+	// Listen is the traffic address: for a gateway the door for callers, for a
+	// node the address at which other processes reach its back end. Required.
+	Listen string `yaml:"listen"`
+
+	// Outbound is the loopback address for the calls that the back end makes.
+	// Nodes only. Default "127.0.0.1:0".
+	Outbound string `yaml:"outbound"`
+
+	// Control is the address for messages between processes. Required.
+	Control string `yaml:"control"`
+
+	// Admin is the address for metrics and probes. Default "127.0.0.1:0".
+	Admin string `yaml:"admin"`
+
+	// Seeds are control addresses of other processes, tried until one answers.
+	Seeds []string `yaml:"seeds"`
+
+	// Store is the base URL of the key-value service. Empty: none, the
+	// defaults of the policy tree are in force.
+	Store string `yaml:"store"`
+
+	// MachineList is the base URL of the machine list. Empty: none.
+	MachineList string `yaml:"machine_list"`
+
+	// Routes map calls at a gateway to services. A call that no route matches
+	// goes to the service named by the first label of its Host. Gateways only.
+	Routes []Route `yaml:"routes"`
+
+	// Log selects the form of the log.
+	Log Log `yaml:"log"`
+
+	// AnnounceTime is how long a stopping process still takes requests while
+	// it tells its peers that it leaves, 0s to 1m. Longer loses fewer retries,
+	// shorter stops sooner. Default 1s.
+	AnnounceTime Duration `yaml:"announce_time"`
+
+	// DrainTimeout is how long a stopping process waits for requests in
+	// flight after that, 0s to 1h. Default 30s.
+	DrainTimeout Duration `yaml:"drain_timeout"`
+
+	// ProbeInterval is the time between two liveness probes to peers, 50ms to
+	// 1m. Detection time and control traffic both follow it. Default 1s.
+	ProbeInterval Duration `yaml:"probe_interval"`
+
+	// ClaimRetention is how long a request stays protected from running twice,
+	// 1s to 24h. Memory grows with it. It must be equal in the whole mesh.
+	// Default 10m.
+	ClaimRetention Duration `yaml:"claim_retention"`
+
+	// ClaimReplicas is the number of processes that hold each claim, 1, 3, 5
+	// or 7; a majority must answer before a request runs. Default 3.
+	ClaimReplicas int `yaml:"claim_replicas"`
+
+	// ClaimGroups is the number of claim groups that keys are spread over, 1
+	// to 1024. It must be equal in the whole mesh and never change while
+	// requests are served. Default 16.
+	ClaimGroups int `yaml:"claim_groups"`
+
+	// MaximumClaims bounds the claims held in memory, 100 to 10000000; beyond
+	// it, requests that may not be repeated are refused. Default 100000.
+	MaximumClaims int `yaml:"maximum_claims"`
+}
+
+// Route maps calls at a gateway to a service.
+type Route struct {
+	Host       string `yaml:"host"`        // exact Host without port; empty: any
+	PathPrefix string `yaml:"path_prefix"` // empty: any
+	Service    string `yaml:"service"`     // required
+}
+
+// Log selects the form of the log.
+type Log struct {
+	Level  string `yaml:"level"`  // trace, debug, info, warn or error; default info
+	Format string `yaml:"format"` // text or json; default text
+}
+
+// Duration is a time.Duration written with a unit, such as "1s".
+type Duration time.Duration
+
+// Std returns the value as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Default returns the settings of a process whose file is empty.
+func Default(role Role) Settings {
+	return Settings{
+		Role:           role,
+		Region:         "default",
+		Zone:           "default",
+		Outbound:       "127.0.0.1:0",
+		Admin:          "127.0.0.1:0",
+		Log:            Log{Level: "info", Format: "text"},
+		AnnounceTime:   Duration(time.Second),
+		DrainTimeout:   Duration(30 * time.Second),
+		ProbeInterval:  Duration(time.Second),
+		ClaimRetention: Duration(10 * time.Minute),
+		ClaimReplicas:  3,
+		ClaimGroups:    16,
+		MaximumClaims:  100000,
+	}
+}
