--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,271 @@
+package admission
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Verdict is the outcome of asking for admission.
+type Verdict int
+
+// Verdicts.
+const (
+	Admitted Verdict = iota
+	BelowLevel
+	QueueFull
+	TooLate // it cannot finish before its deadline
+)
+
+// Config configures a Controller.
+type Config struct {
+	// MinimumLimit and MaximumLimit bound the requests in flight. A minimum
+	// that is too low starves a slow back end, a maximum that is too high
+	// lets it queue inside. Defaults 2 and 200.
+	MinimumLimit int
+	MaximumLimit int
+
+	// QueueTime is the longest time in the queue. Longer rides out bursts,
+	// shorter refuses sooner. Default 50ms.
+	QueueTime time.Duration
+
+	// LevelWindow is the time between two adjustments of the level. Default 50ms.
+	LevelWindow time.Duration
+
+	// FixedLimit switches the adaptation of the limit off.
+	FixedLimit bool
+
+	// Unordered serves the queue first-come, first-served, and keeps the level
+	// at 0. It exists to be compared against.
+	Unordered bool
+}
+
+func (c *Config) setDefaults() {
+	if c.MinimumLimit == 0 {
+		c.MinimumLimit = 2
+	}
+	if c.MaximumLimit == 0 {
+		c.MaximumLimit = 200
+	}
+	if c.LevelWindow == 0 {
+		c.LevelWindow = 50 * time.Millisecond
+	}
+}
+
+// Ticket is a request that was admitted or waits.
+type Ticket struct {
+	priority int
+	deadline time.Time
+	expires  time.Time // end of its time in the queue
+	arrived  time.Time
+	sequence uint64
+	position int // in the heap, -1 when not queued
+	decided  func(Verdict)
+}
+
+// Controller admits requests to one back end.
+type Controller struct {
+	mutex    sync.Mutex
+	config   Config
+	limit    *Limit
+	level    *levelControl
+	inFlight int
+	queue    ticketHeap
+	sequence uint64
+	own      float64 // smoothed own time of the back end, seconds
+}
+
+// NewController returns a Controller.
+func NewController(now time.Time, config Config) *Controller {
+	config.setDefaults()
+	return &Controller{
+		config: config,
+		limit:  NewLimit(now, config.MinimumLimit, config.MaximumLimit),
+		level:  newLevelControl(now, config.LevelWindow),
+	}
+}
+
+// SetBounds changes the bounds of the limit and the time in the queue.
+func (c *Controller) SetBounds(minimum, maximum int, queueTime time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.config.QueueTime = queueTime
+	c.limit.SetBounds(minimum, maximum)
+}
+
+// Ask asks for admission. decided is called once with the verdict, either
+// before Ask returns or later from Done or Expire; it must not block and must
+// not call the Controller. The returned Ticket is passed to Withdraw by a
+// caller that stops waiting.
+func (c *Controller) Ask(now time.Time, priority int, deadline time.Time, decided func(Verdict)) *Ticket {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.level.adjust(now, c.room())
+	ticket := &Ticket{priority: priority, deadline: deadline, arrived: now, position: -1, decided: decided}
+	c.level.arrived(priority)
+	if verdict := c.screen(now, ticket); verdict != Admitted {
+		decided(verdict)
+		return ticket
+	}
+	if c.inFlight < c.limitNow() && len(c.queue.tickets) == 0 {
+		c.start(now, ticket)
+		return ticket
+	}
+	c.enqueue(now, ticket)
+	return ticket
+}
+
+// screen refuses what need not queue.
+func (c *Controller) screen(now time.Time, ticket *Ticket) Verdict {
+	if !c.config.Unordered && ticket.priority < c.level.current {
+		c.level.refused++
+		return BelowLevel
+	}
+	if c.tooLate(now, ticket) {
+		return TooLate
+	}
+	return Admitted
+}
+
+// lateShare is the share of the usual own time that must be left at least.
+const lateShare = 0.5
+
+func (c *Controller) tooLate(now time.Time, ticket *Ticket) bool {
+	if ticket.deadline.IsZero() {
+		return false
+	}
+	left := ticket.deadline.Sub(now).Seconds()
+	return left <= 0 || left < lateShare*c.own
+}
+
+func (c *Controller) limitNow() int {
+	if c.config.FixedLimit {
+		return c.config.MaximumLimit
+	}
+	return c.limit.Current()
+}
+
+// room is the share of the limit that is free.
+func (c *Controller) room() float64 {
+	limit := float64(c.limitNow())
+	return max(0, (limit-float64(c.inFlight+len(c.queue.tickets)))/limit)
+}
+
+// start admits a request. The mutex is held.
+func (c *Controller) start(now time.Time, ticket *Ticket) {
+	c.inFlight++
+	c.limit.Started(c.inFlight)
+	c.level.started(ticket.priority, now.Sub(ticket.arrived))
+	ticket.decided(Admitted)
+}
+
+// enqueue lets a request wait, and refuses the least important one when the
+// queue is full.
+func (c *Controller) enqueue(now time.Time, ticket *Ticket) {
+	if c.config.QueueTime <= 0 {
+		c.level.refused++
+		ticket.decided(QueueFull)
+		return
+	}
+	c.sequence++
+	ticket.sequence = c.sequence
+	ticket.expires = now.Add(c.config.QueueTime)
+	c.queue.unordered = c.config.Unordered
+	heap.Push(&c.queue, ticket)
+	c.dropExpired(now)
+	if len(c.queue.tickets) > c.queueLimit() {
+		c.drop(c.queue.worst(), QueueFull)
+	}
+}
+
+// queueLimit bounds the queue by the number in flight: more cannot be served
+// within a few service times.
+func (c *Controller) queueLimit() int { return 2*c.limitNow() + 1 }
+
+func (c *Controller) drop(ticket *Ticket, verdict Verdict) {
+	heap.Remove(&c.queue, ticket.position)
+	c.level.refused++
+	ticket.decided(verdict)
+}
+
+func (c *Controller) dropExpired(now time.Time) {
+	for i := len(c.queue.tickets) - 1; i >= 0; i-- {
+		ticket := c.queue.tickets[i]
+		switch {
+		case !now.Before(ticket.expires):
+			c.drop(ticket, QueueFull)
+		case c.tooLate(now, ticket):
+			c.drop(ticket, TooLate)
+		}
+	}
+}
+
+// Withdraw takes back a request whose caller stopped waiting. It reports true
+// when the request was still queued; decided is then never called.
+func (c *Controller) Withdraw(ticket *Ticket) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if ticket.position < 0 {
+		return false
+	}
+	heap.Remove(&c.queue, ticket.position)
+	return true
+}
+
+// Done ends a request that was admitted. own is the time that the back end
+// itself took; refused says that the back end refused it as overloaded; counted
+// is false when the time says nothing, for example after a broken connection.
+func (c *Controller) Done(now time.Time, own time.Duration, refused, counted bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.inFlight--
+	if counted {
+		c.limit.Finished(now, own, refused)
+		c.learnOwn(own, refused)
+	}
+	c.dispatch(now)
+	c.level.adjust(now, c.room())
+}
+
+const ownSmoothing = 0.05
+
+func (c *Controller) learnOwn(own time.Duration, refused bool) {
+	if refused {
+		return
+	}
+	c.own += ownSmoothing * (own.Seconds() - c.own)
+}
+
+// dispatch starts queued requests while there is room.
+func (c *Controller) dispatch(now time.Time) {
+	c.dropExpired(now)
+	for c.inFlight < c.limitNow() && len(c.queue.tickets) > 0 {
+		next, _ := heap.Pop(&c.queue).(*Ticket)
+		c.start(now, next)
+	}
+}
+
+// Expire refuses queued requests whose time has passed. Call it every few
+// milliseconds while Waiting is not 0.
+func (c *Controller) Expire(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.dropExpired(now)
+	c.level.adjust(now, c.room())
+}
+
+// State is a snapshot of a Controller.
+type State struct {
+	Limit    int
+	InFlight int
+	Waiting  int
+	Level    int
+}
+
+// State returns a snapshot.
+func (c *Controller) State(now time.Time) State {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.level.adjust(now, c.room())
+	return State{Limit: c.limitNow(), InFlight: c.inFlight, Waiting: len(c.queue.tickets), Level: c.level.current}
+}
--- /dev/null
+++ b/admission/level.go
@@ -0,0 +1,93 @@
+package admission
+
+import "time"
+
+// levelControl sets the level below which requests are refused. It counts what
+// arrives by priority in windows. In a window with refusals, the level becomes
+// the lowest one at which the arrivals above it are as many as were started.
+// In a window with room, it falls.
+type levelControl struct {
+	window   time.Duration
+	end      time.Time
+	current  int
+	arrivals [buckets]float64 // smoothed, by priority
+	recent   [buckets]int
+	starts   int
+	waits    time.Duration
+	refused  int // by the queue or by the level
+	served   float64
+	quiet    int // windows in a row without a refusal
+}
+
+const (
+	bucketWidth   = 8
+	buckets       = (MaximumPriority + 1) / bucketWidth
+	arrivalWeight = 0.5  // of the last window in the smoothed arrivals
+	headroom      = 1.02 // arrivals admitted for each one started
+	fallStep      = 16   // priorities by which the level falls in a quiet window
+	idleFallStep  = 96   // the same while a large part of the limit is free
+	idleRoom      = 0.5
+	fullRoom      = 0.1 // less free than this counts as full
+)
+
+func newLevelControl(now time.Time, window time.Duration) *levelControl {
+	return &levelControl{window: window, end: now.Add(window)}
+}
+
+func (l *levelControl) arrived(priority int) {
+	l.recent[min(max(priority, 0), MaximumPriority)/bucketWidth]++
+}
+
+func (l *levelControl) started(_ int, waited time.Duration) {
+	l.starts++
+	l.waits += waited
+}
+
+// adjust closes the window when its time is over. room is the free share of the
+// limit.
+func (l *levelControl) adjust(now time.Time, room float64) {
+	if now.Before(l.end) {
+		return
+	}
+	windows := 1 + int(now.Sub(l.end)/l.window)
+	l.end = now.Add(l.window)
+	for i := range l.arrivals {
+		l.arrivals[i] += arrivalWeight * (float64(l.recent[i]) - l.arrivals[i])
+		l.recent[i] = 0
+	}
+	l.served += arrivalWeight * (float64(l.starts) - l.served)
+	overloaded := l.refused > 0 && room < fullRoom
+	l.starts, l.waits, l.refused = 0, 0, 0
+	if overloaded {
+		l.quiet = 0
+		l.raise()
+		return
+	}
+	l.quiet++
+	l.fall(room, windows)
+}
+
+// raise sets the level so that what is above it fits.
+func (l *levelControl) raise() {
+	fits := l.served * headroom
+	above := 0.0
+	level := MaximumLevel
+	for i := buckets - 1; i >= 0; i-- {
+		above += l.arrivals[i]
+		if above > fits {
+			break
+		}
+		level = i * bucketWidth
+	}
+	// At least one bucket stays open: a level that refuses everything could
+	// not learn when to fall.
+	l.current = min(level, MaximumLevel-bucketWidth)
+}
+
+func (l *levelControl) fall(room float64, windows int) {
+	step := fallStep
+	if room >= idleRoom {
+		step = idleFallStep
+	}
+	l.current = max(0, l.current-step*min(windows, MaximumLevel))
+}
--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,352 @@
+// Package balance picks the node that a call goes to.
+//
+// It believes only what it sees on the traffic path: the calls that this
+// process has in flight to a node, how long they took, how they failed, and
+// the admission level that came back with answers. Health and load endpoints
+// are not asked, since they lag and mislead.
+//
+// Two random candidates are compared and the cheaper one is taken ("the power
+// of two choices"). The cost of a node is its smoothed latency times its calls
+// in flight, raised for another zone or region, for a node that has just
+// started, and for one that would refuse the call's priority. A node that fails
+// several times in a row is ejected for a while and then gets one trial call
+// at a time.
+//
+// Balancer is safe for concurrent use and takes the time as an argument.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Target is a node that calls can go to.
+type Target struct {
+	ID      string
+	Address string
+	Region  string
+	Zone    string
+	Suspect bool      // believed to be in trouble; taken only when nothing else is left
+	Since   time.Time // when this process first saw it
+}
+
+// Config configures a Balancer.
+type Config struct {
+	// Region and Zone of this process. Calls prefer their own.
+	Region string
+	Zone   string
+
+	// ZoneCost is added to the latency of a node in another zone. Higher keeps
+	// more calls in the zone, lower spreads load more evenly. Default 500µs.
+	ZoneCost time.Duration
+
+	// RegionCost is added to the latency of a node in another region. Default 20ms.
+	RegionCost time.Duration
+
+	// WarmUp is the time in which a new node comes to its full share. Longer is
+	// gentler to cold back ends, shorter uses them sooner. Default 5s.
+	WarmUp time.Duration
+
+	// EjectAfter is the number of failures in a row that eject a node. Default 4.
+	EjectAfter int
+
+	// EjectTime is the first time of an ejection; it doubles with each further
+	// one up to MaximumEjectTime. Defaults 1s and 10s.
+	EjectTime        time.Duration
+	MaximumEjectTime time.Duration
+
+	// LevelHalfLife is how fast an admission level that was not confirmed is
+	// forgotten: after this time it counts half. Default 500ms.
+	LevelHalfLife time.Duration
+
+	// Random returns a whole number in [0, n). Default math/rand/v2.IntN.
+	Random func(n int) int
+
+	// OnEject is called when a node is ejected or restored. May be nil.
+	OnEject func(target Target, ejected bool)
+}
+
+func (c *Config) setDefaults() {
+	setDuration(&c.ZoneCost, 500*time.Microsecond)
+	setDuration(&c.RegionCost, 20*time.Millisecond)
+	setDuration(&c.WarmUp, 5*time.Second)
+	setDuration(&c.EjectTime, time.Second)
+	setDuration(&c.MaximumEjectTime, 10*time.Second)
+	setDuration(&c.LevelHalfLife, 500*time.Millisecond)
+	if c.EjectAfter == 0 {
+		c.EjectAfter = 4
+	}
+	if c.Random == nil {
+		c.Random = rand.IntN
+	}
+	if c.OnEject == nil {
+		c.OnEject = func(Target, bool) {}
+	}
+}
+
+func setDuration(field *time.Duration, fallback time.Duration) {
+	if *field == 0 {
+		*field = fallback
+	}
+}
+
+// Balancer picks among the nodes of one service.
+type Balancer struct {
+	mutex  sync.Mutex
+	config Config
+	states map[string]*state
+	list   []*state
+}
+
+// state is what is known of one node.
+type state struct {
+	target       Target
+	inFlight     int
+	latency      float64 // smoothed, seconds
+	failures     int     // in a row
+	ejections    int     // in a row
+	ejectedUntil time.Time
+	onTrial      bool
+	levels       map[string]levelEntry // by call path
+}
+
+// levelEntry is the admission level that a node last showed for a call path.
+type levelEntry struct {
+	level int
+	at    time.Time
+}
+
+// New returns a Balancer without nodes.
+func New(config Config) *Balancer {
+	config.setDefaults()
+	return &Balancer{config: config, states: map[string]*state{}}
+}
+
+// Update replaces the list of nodes and keeps what is known of those that stay.
+func (b *Balancer) Update(now time.Time, targets []Target) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	states := make(map[string]*state, len(targets))
+	b.list = b.list[:0]
+	for _, target := range targets {
+		known, exists := b.states[target.ID]
+		if !exists {
+			known = &state{}
+			target.Since = now
+		} else {
+			target.Since = known.target.Since
+		}
+		known.target = target
+		states[target.ID] = known
+		b.list = append(b.list, known)
+	}
+	b.states = states
+}
+
+// Size returns the number of nodes.
+func (b *Balancer) Size() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.list)
+}
+
+// Pick returns a node for a call of the given priority and call path that is
+// not in exclude, and counts the call as in flight to it. It reports false when
+// there is none. Each Pick must be followed by one Done.
+func (b *Balancer) Pick(now time.Time, path string, priority int, exclude []string) (Target, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	candidates := b.candidates(now, path, priority, exclude)
+	if len(candidates) == 0 {
+		return Target{}, false
+	}
+	chosen := candidates[b.config.Random(len(candidates))]
+	if len(candidates) > 1 {
+		other := candidates[b.config.Random(len(candidates))]
+		if b.cost(now, other) < b.cost(now, chosen) {
+			chosen = other
+		}
+	}
+	chosen.inFlight++
+	if chosen.ejections > 0 {
+		chosen.onTrial = true
+	}
+	return chosen.target, true
+}
+
+// candidates returns the best group of nodes that is not empty: those that
+// would admit the priority, then those that are well, then all.
+func (b *Balancer) candidates(now time.Time, path string, priority int, exclude []string) []*state {
+	admitting, well, all := []*state{}, []*state{}, []*state{}
+	for _, candidate := range b.list {
+		if excluded(candidate.target.ID, exclude) {
+			continue
+		}
+		all = append(all, candidate)
+		if candidate.target.Suspect || candidate.ejected(now) {
+			continue
+		}
+		well = append(well, candidate)
+		if b.levelOf(now, candidate, path) <= priority {
+			admitting = append(admitting, candidate)
+		}
+	}
+	switch {
+	case len(admitting) > 0:
+		return admitting
+	case len(well) > 0:
+		return well
+	default:
+		return all
+	}
+}
+
+func excluded(id string, exclude []string) bool {
+	for _, other := range exclude {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ejected reports whether the node takes no calls now. After its time, it takes
+// one trial call at a time.
+func (s *state) ejected(now time.Time) bool {
+	return now.Before(s.ejectedUntil) || (s.ejections > 0 && s.onTrial)
+}
+
+// minimumLatency keeps the cost of a node that has not answered yet above 0.
+const minimumLatency = 0.0005
+
+func (b *Balancer) cost(now time.Time, s *state) float64 {
+	latency := max(s.latency, minimumLatency)
+	switch {
+	case s.target.Region != b.config.Region:
+		latency += b.config.RegionCost.Seconds()
+	case s.target.Zone != b.config.Zone:
+		latency += b.config.ZoneCost.Seconds()
+	}
+	cost := latency * float64(s.inFlight+1)
+	if age := now.Sub(s.target.Since); age < b.config.WarmUp {
+		share := max(age.Seconds()/b.config.WarmUp.Seconds(), 0.1)
+		cost /= share
+	}
+	return cost
+}
+
+// Outcome is how a call ended, as far as it says something about the node.
+type Outcome int
+
+// Outcomes.
+const (
+	Answered Outcome = iota // any answer, refusals included
+	Failed                  // no connection, a broken one, or no answer in time
+	Unknown                 // the caller gave up; nothing is learned
+)
+
+// smoothing is the weight of one call in the smoothed latency.
+const smoothing = 0.1
+
+// Done ends a call that Pick began.
+func (b *Balancer) Done(now time.Time, id string, latency time.Duration, outcome Outcome) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s, exists := b.states[id]
+	if !exists {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	s.onTrial = false
+	switch outcome {
+	case Answered:
+		s.learnLatency(latency)
+		s.failures = 0
+		if s.ejections > 0 {
+			s.ejections = 0
+			b.config.OnEject(s.target, false)
+		}
+	case Failed:
+		s.failures++
+		if s.failures >= b.config.EjectAfter || s.ejections > 0 {
+			b.eject(now, s)
+		}
+	}
+}
+
+func (s *state) learnLatency(latency time.Duration) {
+	if s.latency == 0 {
+		s.latency = latency.Seconds()
+		return
+	}
+	s.latency += smoothing * (latency.Seconds() - s.latency)
+}
+
+func (b *Balancer) eject(now time.Time, s *state) {
+	wait := min(b.config.EjectTime<<min(s.ejections, 10), b.config.MaximumEjectTime)
+	s.ejectedUntil = now.Add(wait)
+	s.ejections++
+	s.failures = 0
+	if s.ejections == 1 {
+		b.config.OnEject(s.target, true)
+	}
+}
+
+// SetLevel records the admission level that a node showed for a call path.
+func (b *Balancer) SetLevel(now time.Time, id, path string, level int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s, exists := b.states[id]
+	if !exists {
+		return
+	}
+	if level == 0 {
+		delete(s.levels, path)
+		return
+	}
+	if s.levels == nil {
+		s.levels = map[string]levelEntry{}
+	}
+	s.levels[path] = levelEntry{level: level, at: now}
+}
+
+// levelOf returns the level of a node for a call path, forgotten with time.
+func (b *Balancer) levelOf(now time.Time, s *state, path string) int {
+	entry, exists := s.levels[path]
+	if !exists {
+		return 0
+	}
+	age := now.Sub(entry.at)
+	if age <= b.config.LevelHalfLife {
+		return entry.level
+	}
+	return entry.level >> min(int(age/b.config.LevelHalfLife), 16)
+}
+
+// Level returns the lowest admission level for a call path among the nodes that
+// take calls: a call of a lower priority would be refused by all of them.
+func (b *Balancer) Level(now time.Time, path string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	lowest := -1
+	for _, candidate := range b.list {
+		if candidate.target.Suspect || candidate.ejected(now) {
+			continue
+		}
+		if level := b.levelOf(now, candidate, path); lowest < 0 || level < lowest {
+			lowest = level
+		}
+	}
+	return max(lowest, 0)
+}
+
+// Latency returns the smoothed latency of a node, 0 when it has not answered.
+func (b *Balancer) Latency(id string) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if s, exists := b.states[id]; exists {
+		return time.Duration(s.latency * float64(time.Second))
+	}
+	return 0
+}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,117 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func newBalancer(ids ...string) *Balancer {
+	source := rand.New(rand.NewPCG(1, 2))
+	b := New(Config{Region: "r", Zone: "z", Random: source.IntN})
+	targets := []Target{}
+	for _, id := range ids {
+		targets = append(targets, Target{ID: id, Region: "r", Zone: "z"})
+	}
+	b.Update(epoch, targets)
+	return b
+}
+
+// share makes calls one after the other and counts which node they go to.
+func share(b *Balancer, now time.Time, priority, calls int) map[string]int {
+	counts := map[string]int{}
+	for range calls {
+		target, ok := b.Pick(now, "path", priority, nil)
+		if !ok {
+			continue
+		}
+		counts[target.ID]++
+		b.Done(now, target.ID, time.Millisecond, Answered)
+	}
+	return counts
+}
+
+func TestPick(t *testing.T) {
+	later := epoch.Add(time.Minute)
+	cases := []struct {
+		name    string
+		prepare func(*Balancer)
+		check   func(*is.I, map[string]int)
+	}{
+		{"even among equals", func(*Balancer) {},
+			func(is *is.I, c map[string]int) { is.True(c["a"] > 300 && c["b"] > 300) }},
+		{"avoids a node with calls in flight", func(b *Balancer) {
+			for range 20 {
+				b.Pick(later, "path", 0, []string{"b"})
+			}
+		}, func(is *is.I, c map[string]int) { is.True(c["b"] > 700) }},
+		{"avoids an ejected node", func(b *Balancer) {
+			for range 4 {
+				b.Pick(later, "path", 0, []string{"b"})
+				b.Done(later, "a", 0, Failed)
+			}
+		}, func(is *is.I, c map[string]int) { is.Equal(c["b"], 1000) }},
+		{"avoids a node that would refuse", func(b *Balancer) { b.SetLevel(later, "a", "path", 900) },
+			func(is *is.I, c map[string]int) { is.Equal(c["b"], 1000) }},
+		{"a node that was given up on is not blamed", func(b *Balancer) {
+			for range 9 {
+				b.Pick(later, "path", 0, []string{"b"})
+				b.Done(later, "a", 0, Unknown)
+			}
+		}, func(is *is.I, c map[string]int) { is.True(c["a"] > 300) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBalancer("a", "b")
+			c.prepare(b)
+			c.check(is.New(t), share(b, later, 100, 1000))
+		})
+	}
+}
+
+func TestColdNodeComesIntoItsShareSlowly(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer("a", "b")
+	now := epoch.Add(time.Minute)
+	b.Update(now, []Target{{ID: "a", Region: "r", Zone: "z"}, {ID: "b", Region: "r", Zone: "z"}, {ID: "cold", Region: "r", Zone: "z"}})
+	is.True(share(b, now, 0, 900)["cold"] < 200)
+	is.True(share(b, now.Add(time.Minute), 0, 900)["cold"] > 200)
+}
+
+func TestEjectionEndsWithATrial(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer("a")
+	for range 4 {
+		_, ok := b.Pick(epoch, "path", 0, nil)
+		is.True(ok)
+		b.Done(epoch, "a", 0, Failed)
+	}
+	is.Equal(b.Level(epoch, "path"), 0)
+	_, ok := b.Pick(epoch, "path", 0, nil)
+	is.True(ok) // nothing else is left, so it is tried all the same
+	b.Done(epoch, "a", time.Millisecond, Answered)
+	is.Equal(share(b, epoch, 0, 10)["a"], 10)
+}
+
+func TestLevelIsTheLowestAndIsForgotten(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer("a", "b")
+	b.SetLevel(epoch, "a", "path", 800)
+	is.Equal(b.Level(epoch, "path"), 0) // b admits all
+	b.SetLevel(epoch, "b", "path", 600)
+	is.Equal(b.Level(epoch, "path"), 600)
+	is.Equal(b.Level(epoch.Add(700*time.Millisecond), "path"), 300)
+	is.Equal(b.Level(epoch.Add(time.Minute), "path"), 0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	balancer := newBalancer("a", "b", "c", "d")
+	for b.Loop() {
+		target, _ := balancer.Pick(epoch, "path", 0, nil)
+		balancer.Done(epoch, target.ID, time.Millisecond, Answered)
+	}
+}
--- /dev/null
+++ b/claims/round.go
@@ -0,0 +1,75 @@
+package claims
+
+// Decision is the state of a Round.
+type Decision int
+
+// Decisions.
+const (
+	Pending     Decision = iota
+	Won                  // a majority granted: the request may run
+	Lost                 // another run holds the key at a replica
+	Unavailable          // no majority can be had now
+	Outdated             // the runner must learn the new epoch and ask again
+)
+
+// Round collects the replies of the replicas of one group to one claim.
+type Round struct {
+	replicas int
+	replied  int
+	granted  int
+	outdated bool
+	holder   *Claim
+	answer   *Answer
+}
+
+// NewRound returns a Round for a group.
+func NewRound(group Group) *Round {
+	return &Round{replicas: len(group.Replicas)}
+}
+
+// Reply records the reply of one replica and returns the decision. Each replica
+// counts once.
+func (r *Round) Reply(reply Reply) Decision {
+	r.replied++
+	switch reply.Verdict {
+	case Granted:
+		r.granted++
+	case Held:
+		r.holder = reply.Holder
+		if reply.Answer != nil {
+			r.answer = reply.Answer
+		}
+	case Stale:
+		r.outdated = true
+	}
+	return r.Decision()
+}
+
+// NoReply records that one replica did not reply.
+func (r *Round) NoReply() Decision {
+	r.replied++
+	return r.Decision()
+}
+
+// Decision returns the decision so far.
+func (r *Round) Decision() Decision {
+	needed := majority(r.replicas)
+	open := r.replicas - r.replied
+	switch {
+	case r.replicas == 0:
+		return Unavailable
+	case r.granted >= needed:
+		return Won
+	case r.granted+open >= needed:
+		return Pending
+	case r.outdated:
+		return Outdated
+	case r.holder != nil:
+		return Lost
+	default:
+		return Unavailable
+	}
+}
+
+// Holder returns the claim that holds the key, and its answer when known.
+func (r *Round) Holder() (*Claim, *Answer) { return r.holder, r.answer }
--- /dev/null
+++ b/kernel/answer.go
@@ -0,0 +1,63 @@
+package kernel
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// copyBuffers are the buffers in which bodies are passed on.
+var copyBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, 32<<10)
+	return &buffer
+}}
+
+// writeAnswer passes an answer on: status, headers, body and trailers. A body
+// that ends too early breaks the connection, so that the caller never takes it
+// for a whole answer.
+func writeAnswer(w http.ResponseWriter, answer *http.Response) {
+	header := w.Header()
+	wire.RemoveHopByHop(answer.Header)
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	if _, exists := answer.Header["Content-Type"]; !exists {
+		header["Content-Type"] = nil // else the server would guess one
+	}
+	w.WriteHeader(answer.StatusCode)
+	if err := copyBody(w, answer); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range answer.Trailer {
+		header[http.TrailerPrefix+name] = values
+	}
+}
+
+// copyBody passes the body on. A body of unknown length is flushed after each
+// read, since the caller may wait for what there is.
+func copyBody(w http.ResponseWriter, answer *http.Response) error {
+	buffer, _ := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	flush := answer.ContentLength < 0
+	controller := http.NewResponseController(w)
+	for {
+		n, readErr := answer.Body.Read(*buffer)
+		if n > 0 {
+			if _, err := w.Write((*buffer)[:n]); err != nil {
+				return err
+			}
+			if flush {
+				_ = controller.Flush()
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
--- /dev/null
+++ b/kernel/call.go
@@ -0,0 +1,118 @@
+package kernel
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/retrybudget"
+)
+
+// Call is one request on its way through the chain of one process.
+type Call struct {
+	// Context ends when the caller goes away or the deadline passes.
+	Context context.Context
+	// Service is the service that the call is for.
+	Service string
+	// Method, URL and Host are those of the request, unchanged.
+	Method string
+	URL    *url.URL
+	Host   string
+	// Header is passed on. Hop-by-hop and internal headers are removed.
+	Header http.Header
+	// Body is the request body.
+	Body *Body
+	// Policy is what the tree says of the call.
+	Policy policy.Effective
+	// Request identifies the user request in the whole mesh.
+	Request string
+	// Tried lists the nodes that earlier attempts went to.
+	Tried []string
+	// Attempt identifies this attempt of the call.
+	Attempt string
+	// Priority is the priority of the user request.
+	Priority int
+	// Deadline is when the answer must be complete.
+	Deadline time.Time
+	// Budget holds the retries that may be spent for the user request here.
+	Budget *retrybudget.Account
+	// ClaimKey is the key under which the call may run at most once. Zero for
+	// calls that may be repeated.
+	ClaimKey claims.Key
+	// Fingerprint tells requests with the same key apart.
+	Fingerprint uint64
+	// Hops is the number of calls above this one in the call graph.
+	Hops int
+	// Execution is the request whose back end makes this call (outbound), or
+	// which this call becomes (inbound). Nil for calls from outside.
+	Execution *Execution
+	// Inbound is true on the way to the own back end.
+	Inbound bool
+	// External is true for calls of callers outside the mesh.
+	External bool
+	// ReleasePlace gives back the place beside the back end early. Set by the
+	// admission plug-in, nil before it.
+	ReleasePlace func()
+}
+
+// Answer is the answer to a call.
+type Answer struct {
+	*http.Response
+	// Unspent is the number of retries that the callee did not use.
+	Unspent int
+	// Level is the lowest priority that the callee's subtree admits now.
+	Level int
+	// Leaving is true when the answering process is stopping.
+	Leaving bool
+	// Replayed is true when this is the stored answer of an earlier run.
+	Replayed bool
+}
+
+// Body is a request body. Small bodies of known length are read into memory
+// first, so that they can be sent again; others are streamed.
+type Body struct {
+	data     []byte
+	buffered bool
+	stream   io.ReadCloser
+	length   int64 // -1 when unknown
+	opened   bool
+}
+
+// replayableLimit is the size up to which bodies are kept, in bytes.
+const replayableLimit = 64 << 10
+
+// newBody takes the body of a request that the HTTP server received.
+func newBody(r *http.Request) (*Body, error) {
+	if r.ContentLength == 0 {
+		return &Body{buffered: true}, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > replayableLimit {
+		return &Body{stream: r.Body, length: r.ContentLength}, nil
+	}
+	data := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, data); err != nil {
+		return nil, result.Wrap(result.CallerGone, err, "reading the request body")
+	}
+	return &Body{data: data, buffered: true, length: int64(len(data))}, nil
+}
+
+// Replayable reports whether the body can be sent (again).
+func (b *Body) Replayable() bool { return b.buffered || !b.opened }
+
+// Buffered returns the bytes of a body that is in memory.
+func (b *Body) Buffered() ([]byte, bool) { return b.data, b.buffered }
+
+// Open returns a reader of the whole body and its length, -1 when unknown.
+func (b *Body) Open() (io.ReadCloser, int64) {
+	b.opened = true
+	if b.buffered {
+		return io.NopCloser(bytes.NewReader(b.data)), b.length
+	}
+	return b.stream, b.length
+}
--- /dev/null
+++ b/kernel/chain.go
@@ -0,0 +1,21 @@
+package kernel
+
+// InboundChain is the order of plug-ins for calls that arrive at a node for its
+// back end.
+var InboundChain = []string{
+	"drain",     // refuse when stopping
+	"deadline",  // refuse what is out of time, bound the rest
+	"admission", // wait for a place beside the back end
+	"once",      // claim what may not be repeated
+	"forward",   // hand to the back end
+}
+
+// OutboundChain is the order of plug-ins for calls that leave a gateway or that
+// a back end makes through its node.
+var OutboundChain = []string{
+	"drain",    // refuse new callers when stopping (gateways)
+	"deadline", // refuse what is out of time, bound the rest
+	"identity", // name calls that may not be repeated
+	"retry",    // repeat attempts within the budget
+	"routing",  // refuse early, choose a node, send
+}
--- /dev/null
+++ b/kernel/control.go
@@ -0,0 +1,87 @@
+package kernel
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// ControlClient sends control messages to other processes, over kratos HTTP
+// clients that share one connection pool. Neither its discovery nor its node
+// selection is used: each client has one fixed address.
+type ControlClient struct {
+	mutex     sync.Mutex
+	transport *http.Transport
+	clients   map[string]*kratoshttp.Client
+	counters  *Counters
+}
+
+// Bounds of the control client.
+const (
+	maximumControlClients = 2048
+	controlDialTimeout    = time.Second
+	controlIdleTimeout    = 3 * time.Second
+	controlIdleConns      = 64
+)
+
+func newControlClient(counters *Counters) *ControlClient {
+	dialer := &net.Dialer{Timeout: controlDialTimeout}
+	return &ControlClient{
+		counters: counters,
+		clients:  map[string]*kratoshttp.Client{},
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return controlConn{Conn: conn, counters: counters}, nil
+			},
+			DisableCompression:  true,
+			MaxIdleConns:        controlIdleConns,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     controlIdleTimeout,
+		},
+	}
+}
+
+// client returns the client of one address.
+func (c *ControlClient) client(address string) (*kratoshttp.Client, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if known, exists := c.clients[address]; exists {
+		return known, nil
+	}
+	created, err := kratoshttp.NewClient(context.Background(),
+		kratoshttp.WithEndpoint(address), kratoshttp.WithTransport(c.transport), kratoshttp.WithTimeout(0))
+	if err != nil {
+		return nil, result.Wrap(result.NodeUnreachable, err, "control address %s", address)
+	}
+	if len(c.clients) >= maximumControlClients {
+		clear(c.clients)
+	}
+	c.clients[address] = created
+	return created, nil
+}
+
+// Invoke sends one control message and decodes the answer into reply.
+func (c *ControlClient) Invoke(ctx context.Context, address, method, path string, message, reply any) error {
+	client, err := c.client(address)
+	if err != nil {
+		return err
+	}
+	c.counters.ControlMessages.Add(1)
+	if err := client.Invoke(ctx, method, path, message, reply); err != nil {
+		return result.Wrap(result.NodeUnreachable, err, "control message to %s", address)
+	}
+	return nil
+}
+
+// Close closes idle connections.
+func (c *ControlClient) Close() { c.transport.CloseIdleConnections() }
--- /dev/null
+++ b/kernel/counters.go
@@ -0,0 +1,63 @@
+package kernel
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// Counters are the counts that the kernel keeps.
+type Counters struct {
+	Retries         atomic.Int64
+	ControlSent     atomic.Int64 // bytes
+	ControlReceived atomic.Int64 // bytes
+	ControlMessages atomic.Int64 // sent
+
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// Directions of requests in metrics.
+const (
+	directionInbound  = "inbound"
+	directionOutbound = "outbound"
+	directionGateway  = "gateway"
+)
+
+// register creates the metrics.
+func (c *Counters) register(registry *prometheus.Registry) {
+	c.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "loomcleat_requests_total",
+		Help: "Requests by direction and numbered result; result 0 is an answer of a back end.",
+	}, []string{"direction", "result"})
+	c.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "loomcleat_request_seconds",
+		Help:    "Time from the arrival of a request to the end of its answer.",
+		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+	}, []string{"direction"})
+	registry.MustRegister(c.requests, c.latency,
+		counterOf("loomcleat_retries_total", "Attempts after the first one that this process made.", &c.Retries),
+		counterOf("loomcleat_control_sent_bytes_total", "Bytes written on control connections.", &c.ControlSent),
+		counterOf("loomcleat_control_received_bytes_total", "Bytes read on control connections.", &c.ControlReceived),
+		counterOf("loomcleat_control_messages_total", "Control messages sent.", &c.ControlMessages),
+	)
+}
+
+func counterOf(name, help string, value *atomic.Int64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+		func() float64 { return float64(value.Load()) })
+}
+
+// observe counts one request.
+func (c *Counters) observe(direction string, err error, taken time.Duration) {
+	code := 0
+	if err != nil {
+		code = int(result.From(err).Code)
+	}
+	c.requests.WithLabelValues(direction, strconv.Itoa(code)).Inc()
+	c.latency.WithLabelValues(direction).Observe(taken.Seconds())
+}
--- /dev/null
+++ b/kernel/execution.go
@@ -0,0 +1,142 @@
+package kernel
+
+import (
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/loomcleat/loomcleat/retrybudget"
+)
+
+// Execution is a request that the back end of this node is working on. The
+// calls that the back end makes for it are tied to it by its token.
+type Execution struct {
+	Token    string
+	Request  string
+	Identity string // names this execution for keys of calls that it makes
+	Priority int
+	Deadline time.Time
+	Budget   *retrybudget.Account
+	Hops     int
+
+	mutex    sync.Mutex
+	children int
+	since    time.Time // when children became more than 0
+	waited   time.Duration
+	level    int
+	ordinals map[uint64]int
+}
+
+// BeginChild records that the back end waits for a call of its own.
+func (e *Execution) BeginChild(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.children == 0 {
+		e.since = now
+	}
+	e.children++
+}
+
+// EndChild records that such a call has ended.
+func (e *Execution) EndChild(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.children--
+	if e.children == 0 {
+		e.waited += now.Sub(e.since)
+	}
+}
+
+// Waited returns the time in which at least one call of the back end was open.
+func (e *Execution) Waited(now time.Time) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.children > 0 {
+		return e.waited + now.Sub(e.since)
+	}
+	return e.waited
+}
+
+// NoteLevel records the admission level of a service that the back end called.
+func (e *Execution) NoteLevel(level int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.level = max(e.level, level)
+}
+
+// Level returns the highest level that was noted.
+func (e *Execution) Level() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.level
+}
+
+// Ordinal returns how many calls with the same content this execution has made
+// before, so that each gets a key of its own, and the same one when the whole
+// execution is repeated.
+func (e *Execution) Ordinal(content uint64) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.ordinals == nil {
+		e.ordinals = map[uint64]int{}
+	}
+	ordinal := e.ordinals[content]
+	e.ordinals[content]++
+	return ordinal
+}
+
+// executionShards spreads the lock of the table.
+const executionShards = 64
+
+// Executions is the table of requests that the back end is working on.
+type Executions struct {
+	prefix string
+	next   atomic.Uint64
+	shards [executionShards]executionShard
+}
+
+type executionShard struct {
+	mutex sync.Mutex
+	byID  map[string]*Execution
+}
+
+func newExecutions(prefix string) *Executions {
+	table := &Executions{prefix: prefix}
+	for i := range table.shards {
+		table.shards[i].byID = map[string]*Execution{}
+	}
+	return table
+}
+
+func (t *Executions) shard(token string) *executionShard {
+	digest := fnv.New32a()
+	_, _ = digest.Write([]byte(token))
+	return &t.shards[digest.Sum32()%executionShards]
+}
+
+// add gives the execution a token and enters it.
+func (t *Executions) add(execution *Execution) {
+	execution.Token = t.prefix + "." + strconv.FormatUint(t.next.Add(1), 36)
+	shard := t.shard(execution.Token)
+	shard.mutex.Lock()
+	shard.byID[execution.Token] = execution
+	shard.mutex.Unlock()
+}
+
+// remove ends an execution.
+func (t *Executions) remove(execution *Execution) {
+	shard := t.shard(execution.Token)
+	shard.mutex.Lock()
+	delete(shard.byID, execution.Token)
+	shard.mutex.Unlock()
+}
+
+// find returns the execution with the given token, nil when there is none.
+func (t *Executions) find(token string) *Execution {
+	shard := t.shard(token)
+	shard.mutex.Lock()
+	defer shard.mutex.Unlock()
+	return shard.byID[token]
+}
--- /dev/null
+++ b/kernel/lifecycle.go
@@ -0,0 +1,120 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// readinessInterval is the time between two checks of readiness.
+const readinessInterval = 20 * time.Millisecond
+
+// Start serves until Stop. It implements transport.Server of kratos.
+func (p *Process) Start(context.Context) error {
+	p.Log.Emit(event.ProcessStarting, "id", p.ID, "role", string(p.Settings.Role), "zone", p.Settings.Zone,
+		"listen", p.TrafficAddress(), "control", p.ControlAddress(), "admin", p.AdminAddress(), "outbound", p.OutboundAddress())
+	p.Loop.Every(readinessInterval, p.checkReady)
+	p.HandleControl("GET "+wire.PathStatus, p.serveStatus)
+	failed := make(chan error, serverCount)
+	p.servers.start(p, failed)
+	go p.Loop.run(p.context)
+	for _, run := range p.onStart {
+		go run(p.context)
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-p.stopped:
+		return nil
+	}
+}
+
+// checkReady marks the process ready once all conditions hold.
+func (p *Process) checkReady(time.Time) {
+	if p.ready.Load() {
+		return
+	}
+	for _, condition := range p.readiness {
+		if !condition() {
+			return
+		}
+	}
+	p.ready.Store(true)
+	p.Log.Emit(event.ProcessReady, "id", p.ID)
+}
+
+// Stop ends the process in order: it announces that it leaves and still takes
+// requests for the announce time, then refuses new ones and waits for those in
+// flight, then ends. It implements transport.Server of kratos.
+func (p *Process) Stop(ctx context.Context) error {
+	p.stopOnce.Do(func() { p.stop(ctx) })
+	return nil
+}
+
+func (p *Process) stop(ctx context.Context) {
+	p.leaving.Store(true)
+	p.Log.Emit(event.ProcessDraining, "id", p.ID, "in_flight", p.inFlight.Load())
+	_ = p.Loop.Do(ctx, func(time.Time) { p.Mesh.SetState(true, false) })
+	p.waitAnnounced(ctx)
+	p.draining.Store(true)
+	if !p.waitIdle(ctx) {
+		p.Log.Emit(event.DrainTimedOut, "id", p.ID, "in_flight", p.inFlight.Load())
+	}
+	p.servers.stop()
+	p.cancel()
+	p.Control.Close()
+	p.Log.Emit(event.ProcessStopped, "id", p.ID)
+	close(p.stopped)
+}
+
+// drainHookTimeout bounds what plug-ins do before the process refuses requests.
+const drainHookTimeout = 5 * time.Second
+
+// waitAnnounced waits for the announce time and for the plug-ins that hand
+// something over.
+func (p *Process) waitAnnounced(ctx context.Context) {
+	announced := time.NewTimer(p.Settings.AnnounceTime.Std())
+	defer announced.Stop()
+	hooks, cancel := context.WithTimeout(ctx, max(drainHookTimeout, p.Settings.AnnounceTime.Std()))
+	defer cancel()
+	var group sync.WaitGroup
+	for _, run := range p.onDrain {
+		group.Go(func() { run(hooks) })
+	}
+	select {
+	case <-announced.C:
+	case <-ctx.Done():
+	}
+	group.Wait()
+}
+
+// waitIdle waits until no request is in flight and reports whether that came
+// within the drain timeout.
+func (p *Process) waitIdle(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.Settings.DrainTimeout.Std())
+	defer cancel()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for p.inFlight.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// Kill ends the process at once, as a crash would: nothing is announced and
+// requests in flight are cut off.
+func (p *Process) Kill() {
+	p.stopOnce.Do(func() {
+		p.servers.kill()
+		p.cancel()
+		p.Control.Close()
+		close(p.stopped)
+	})
+}
--- /dev/null
+++ b/kernel/loop.go
@@ -0,0 +1,103 @@
+package kernel
+
+import (
+	"context"
+	"time"
+
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// Task is a step of the control loop. It must not block.
+type Task func(now time.Time)
+
+// Loop is the one goroutine that owns the control state of a process. All
+// changes of that state are Tasks that it runs one after the other.
+type Loop struct {
+	tasks   chan Task
+	periods []period
+	done    chan struct{}
+}
+
+// period is a Task that is run again and again.
+type period struct {
+	interval time.Duration
+	task     Task
+}
+
+// loopQueue is the number of tasks that may wait.
+const loopQueue = 4096
+
+func newLoop() *Loop {
+	return &Loop{tasks: make(chan Task, loopQueue), done: make(chan struct{})}
+}
+
+// Every runs task at each interval. It must be called before the loop starts.
+func (l *Loop) Every(interval time.Duration, task Task) {
+	l.periods = append(l.periods, period{interval, task})
+}
+
+// Post queues a task and reports whether there was room. It never blocks.
+func (l *Loop) Post(task Task) bool {
+	select {
+	case l.tasks <- task:
+		return true
+	default:
+		return false
+	}
+}
+
+// Do queues a task and waits until it has run.
+func (l *Loop) Do(ctx context.Context, task Task) error {
+	finished := make(chan struct{})
+	wrapped := func(now time.Time) {
+		task(now)
+		close(finished)
+	}
+	select {
+	case l.tasks <- wrapped:
+	case <-ctx.Done():
+		return result.Wrap(result.NotReady, ctx.Err(), "the control loop is busy")
+	case <-l.done:
+		return result.New(result.Draining, "the process has stopped")
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return result.Wrap(result.NotReady, ctx.Err(), "the control loop is busy")
+	case <-l.done:
+		return result.New(result.Draining, "the process has stopped")
+	}
+}
+
+// run runs the loop until ctx ends.
+func (l *Loop) run(ctx context.Context) {
+	defer close(l.done)
+	for _, p := range l.periods {
+		go l.repeat(ctx, p)
+	}
+	for {
+		select {
+		case task := <-l.tasks:
+			task(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// repeat posts a periodic task at its times.
+func (l *Loop) repeat(ctx context.Context, p period) {
+	ticker := time.NewTicker(p.interval)
+	defer ticker.Stop()
+	for {
+		if l.Do(ctx, p.task) != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/kernel/process.go
@@ -0,0 +1,298 @@
+package kernel
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/membership"
+	"github.com/loomcleat/loomcleat/platform"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// Options are what a Process is given by the program that embeds it.
+type Options struct {
+	Settings settings.Settings
+	Log      *event.Logger
+	Store    platform.Store       // nil: none
+	Machines platform.MachineList // nil: none
+	// Hollow leaves out the traffic listeners. Hollow processes measure the
+	// cost of control.
+	Hollow bool
+}
+
+// Documents is what the plug-in that spreads documents provides.
+type Documents interface {
+	// Revisions returns the revisions that this process has.
+	Revisions() wire.Revisions
+	// Heard tells of the revisions that a peer has. It does not block.
+	Heard(peer string, revisions wire.Revisions)
+	// Offer takes a document that was learned in another way, if it is newer.
+	Offer(ctx context.Context, name wire.DocumentName, data []byte) error
+	// Subscribe calls adopt on the control loop for each new revision. It must
+	// be called during set-up.
+	Subscribe(name wire.DocumentName, adopt func(now time.Time, data []byte))
+}
+
+// Mesh is what the plug-in that keeps the membership provides. Its methods are
+// called on the control loop.
+type Mesh interface {
+	// SetState announces whether this process leaves and its back end is down.
+	SetState(leaving, down bool)
+	// Announce spreads the revisions of this process at once.
+	Announce()
+}
+
+// Process is one loomcleat process: a node or a gateway.
+type Process struct {
+	Settings settings.Settings
+	ID       string
+	Started  time.Time
+	Log      *event.Logger
+	Loop     *Loop
+	Store    platform.Store
+	Machines platform.MachineList
+	Metrics  *prometheus.Registry
+	Control  *ControlClient
+	Counters Counters
+
+	// Policy is the policy tree in force.
+	Policy atomic.Pointer[policy.Index]
+	// Members is what is known of the mesh, in order of id.
+	Members atomic.Pointer[[]membership.Member]
+	// MachineState is what the machine list last said, nil before that and in
+	// processes that do not poll it.
+	MachineState atomic.Pointer[MachineState]
+	// Documents and Mesh are set during set-up by plug-ins.
+	Documents Documents
+	Mesh      Mesh
+
+	hollow     bool
+	inFlight   atomic.Int64
+	ready      atomic.Bool
+	leaving    atomic.Bool
+	draining   atomic.Bool
+	executions *Executions
+	listeners  listeners
+	servers    servers
+	middleware [2]map[string]Middleware // inbound, outbound
+	inbound    Handler
+	outbound   Handler
+	readiness  []func() bool
+	onStart    []func(context.Context)
+	onDrain    []func(context.Context)
+	onMembers  []func(time.Time, []membership.Member)
+	onStatus   []func(*wire.Status)
+	levelOf    func(time.Time) int
+	context    context.Context
+	cancel     context.CancelFunc
+	stopOnce   sync.Once
+	stopped    chan struct{}
+}
+
+// MachineState is one reading of the machine list.
+type MachineState struct {
+	At       time.Time
+	Machines []platform.Machine
+}
+
+// LiveIDs returns the ids of the members that are not dead or leaving.
+func LiveIDs(members []membership.Member) []string {
+	ids := make([]string, 0, len(members))
+	for _, member := range members {
+		if member.Status != membership.Dead && !member.Leaving {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// listeners are the bound addresses of a process.
+type listeners struct {
+	traffic, outbound, control, admin net.Listener
+}
+
+// New binds the listeners of a process and sets up its plug-ins. Nothing is
+// served before Start.
+func New(options Options) (*Process, error) {
+	p := &Process{
+		Settings: options.Settings,
+		ID:       newProcessID(options.Settings),
+		Started:  time.Now(),
+		Log:      options.Log,
+		Loop:     newLoop(),
+		Store:    options.Store,
+		Machines: options.Machines,
+		Metrics:  prometheus.NewRegistry(),
+		hollow:   options.Hollow,
+		stopped:  make(chan struct{}),
+	}
+	p.context, p.cancel = context.WithCancel(context.Background())
+	p.Policy.Store(policy.NewIndex(nil))
+	p.Members.Store(&[]membership.Member{})
+	p.executions = newExecutions(p.ID)
+	p.middleware = [2]map[string]Middleware{{}, {}}
+	p.Control = newControlClient(&p.Counters)
+	p.Counters.register(p.Metrics)
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	p.servers = newServers(p)
+	if err := setUpPlugins(p); err != nil {
+		p.listeners.close()
+		return nil, err
+	}
+	p.inbound = buildChain(InboundChain, p.middleware[0])
+	p.outbound = buildChain(OutboundChain, p.middleware[1])
+	return p, nil
+}
+
+// newProcessID returns an id that is new at each start, because a process that
+// was restarted has forgotten its claims and must not pass for the one before.
+func newProcessID(s settings.Settings) string {
+	name := s.ID
+	if name == "" {
+		name = string(s.Role)
+	}
+	return name + "-" + uuid.NewString()[:13]
+}
+
+// listen binds all addresses, or none.
+func (p *Process) listen() error {
+	targets := []struct {
+		address string
+		into    *net.Listener
+		wanted  bool
+	}{
+		{p.Settings.Listen, &p.listeners.traffic, !p.hollow},
+		{p.Settings.Outbound, &p.listeners.outbound, !p.hollow && p.IsNode()},
+		{p.Settings.Control, &p.listeners.control, true},
+		{p.Settings.Admin, &p.listeners.admin, !p.hollow},
+	}
+	for _, target := range targets {
+		if !target.wanted {
+			continue
+		}
+		listener, err := net.Listen("tcp", target.address)
+		if err != nil {
+			p.listeners.close()
+			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", target.address)
+		}
+		*target.into = listener
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.traffic, l.outbound, l.control, l.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func addressOf(listener net.Listener) string {
+	if listener == nil {
+		return ""
+	}
+	return listener.Addr().String()
+}
+
+// IsNode reports whether this process stands beside a back end.
+func (p *Process) IsNode() bool { return p.Settings.Role == settings.RoleNode }
+
+// TrafficAddress returns the bound traffic address.
+func (p *Process) TrafficAddress() string { return addressOf(p.listeners.traffic) }
+
+// OutboundAddress returns the bound address for calls of the back end.
+func (p *Process) OutboundAddress() string { return addressOf(p.listeners.outbound) }
+
+// ControlAddress returns the bound control address.
+func (p *Process) ControlAddress() string { return addressOf(p.listeners.control) }
+
+// AdminAddress returns the bound address for metrics and probes.
+func (p *Process) AdminAddress() string { return addressOf(p.listeners.admin) }
+
+// UseInbound adds a plug-in's middleware for calls to the back end.
+func (p *Process) UseInbound(name string, middleware Middleware) { p.middleware[0][name] = middleware }
+
+// UseOutbound adds a plug-in's middleware for calls to other processes.
+func (p *Process) UseOutbound(name string, middleware Middleware) {
+	p.middleware[1][name] = middleware
+}
+
+// HandleControl adds a handler on the control listener.
+func (p *Process) HandleControl(pattern string, handler http.HandlerFunc) {
+	p.servers.controlRoutes.HandleFunc(pattern, handler)
+}
+
+// AddReadiness adds a condition for taking requests.
+func (p *Process) AddReadiness(condition func() bool) { p.readiness = append(p.readiness, condition) }
+
+// OnStart adds a function that is run in a goroutine of its own from start to
+// the end of its context.
+func (p *Process) OnStart(run func(context.Context)) { p.onStart = append(p.onStart, run) }
+
+// OnDrain adds a function that a stopping process waits for while it still
+// answers its peers.
+func (p *Process) OnDrain(run func(context.Context)) { p.onDrain = append(p.onDrain, run) }
+
+// OnMembers adds a function that is called on the control loop when the
+// membership has changed.
+func (p *Process) OnMembers(changed func(time.Time, []membership.Member)) {
+	p.onMembers = append(p.onMembers, changed)
+}
+
+// OnStatus adds a function that fills in a part of the status of the process.
+func (p *Process) OnStatus(fill func(*wire.Status)) { p.onStatus = append(p.onStatus, fill) }
+
+// SetLevel sets the function that returns the own admission level.
+func (p *Process) SetLevel(level func(time.Time) int) { p.levelOf = level }
+
+// PublishMembers makes a new state of the mesh known. It is called on the
+// control loop.
+func (p *Process) PublishMembers(now time.Time, members []membership.Member) {
+	p.Members.Store(&members)
+	for _, changed := range p.onMembers {
+		changed(now, members)
+	}
+}
+
+// Ready reports whether the process takes requests.
+func (p *Process) Ready() bool { return p.ready.Load() }
+
+// Leaving reports whether the process was told to stop.
+func (p *Process) Leaving() bool { return p.leaving.Load() }
+
+// Draining reports whether the process refuses new requests.
+func (p *Process) Draining() bool { return p.draining.Load() }
+
+// Status returns what the process knows of itself and the mesh.
+func (p *Process) Status() wire.Status {
+	status := wire.Status{
+		ID:        p.ID,
+		Role:      string(p.Settings.Role),
+		Region:    p.Settings.Region,
+		Zone:      p.Settings.Zone,
+		Service:   p.Settings.Service,
+		Ready:     p.Ready(),
+		Leaving:   p.Leaving(),
+		Revisions: p.Documents.Revisions(),
+		Members:   *p.Members.Load(),
+		InFlight:  p.inFlight.Load(),
+	}
+	for _, fill := range p.onStatus {
+		fill(&status)
+	}
+	return status
+}
--- /dev/null
+++ b/kernel/traffic.go
@@ -0,0 +1,265 @@
+package kernel
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/retrybudget"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// notReadyRetryAfter is the time after which a caller of a process that is not
+// ready may ask again.
+const notReadyRetryAfter = time.Second
+
+// serveGateway serves a caller outside the mesh.
+func (p *Process) serveGateway(w http.ResponseWriter, r *http.Request) {
+	p.serve(w, r, directionGateway, p.outbound, p.gatewayCall)
+}
+
+// serveOutbound serves a call that the own back end makes.
+func (p *Process) serveOutbound(w http.ResponseWriter, r *http.Request) {
+	p.serve(w, r, directionOutbound, p.outbound, p.outboundCall)
+}
+
+// serveInbound serves a call of another process for the own back end.
+func (p *Process) serveInbound(w http.ResponseWriter, r *http.Request) {
+	p.serve(w, r, directionInbound, p.inbound, p.inboundCall)
+}
+
+// serve turns a request into a Call, lets the chain answer it and writes the
+// answer.
+func (p *Process) serve(w http.ResponseWriter, r *http.Request, direction string, chain Handler, build func(*http.Request) (*Call, error)) {
+	started := time.Now()
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	defer p.recoverPanic(w)
+	var answer *Answer
+	call, err := build(r)
+	if err == nil {
+		var cancel context.CancelFunc
+		call.Context, cancel = context.WithDeadline(r.Context(), call.Deadline)
+		defer cancel()
+		if call.Inbound {
+			p.executions.add(call.Execution)
+			defer p.executions.remove(call.Execution)
+		}
+		answer, err = chain.Handle(call)
+	}
+	defer func() { p.Counters.observe(direction, err, time.Since(started)) }()
+	if call != nil && call.Inbound {
+		p.addReport(w.Header(), call)
+	}
+	if p.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if err != nil {
+		result.From(err).WriteHTTP(w)
+		return
+	}
+	defer answer.Body.Close()
+	writeAnswer(w, answer.Response)
+}
+
+// recoverPanic keeps the process alive when a handler panics.
+func (p *Process) recoverPanic(http.ResponseWriter) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		p.Log.Emit(event.RequestPanic, "panic", cause)
+	}
+	panic(http.ErrAbortHandler) // the caller sees a broken connection, not a whole answer
+}
+
+// addReport adds to an answer what the calling process needs to know.
+func (p *Process) addReport(header http.Header, call *Call) {
+	header.Set(wire.HeaderAttempt, call.Attempt)
+	if unspent := call.Budget.Close(); unspent > 0 {
+		header.Set(wire.HeaderUnspent, strconv.Itoa(unspent))
+	}
+	level := call.Execution.Level()
+	if p.levelOf != nil {
+		level = max(level, p.levelOf(time.Now()))
+	}
+	if level > 0 {
+		header.Set(wire.HeaderLevel, strconv.Itoa(level))
+	}
+	if p.Leaving() {
+		header.Set(wire.HeaderLeaving, "1")
+	}
+}
+
+// newCall fills in what all calls have.
+func (p *Process) newCall(r *http.Request, service string) (*Call, error) {
+	if !p.Ready() {
+		return nil, result.New(result.NotReady, "the process has not learned the policy yet").WithRetryAfter(notReadyRetryAfter)
+	}
+	body, err := newBody(r)
+	if err != nil {
+		return nil, err
+	}
+	header := r.Header.Clone()
+	wire.RemoveHopByHop(header)
+	return &Call{
+		Service: service,
+		Method:  r.Method,
+		URL:     r.URL,
+		Host:    r.Host,
+		Header:  header,
+		Body:    body,
+		Policy:  p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath()),
+	}, nil
+}
+
+// gatewayCall builds the call of a caller outside the mesh. Nothing that the
+// caller says about priority, budget or identity inside the mesh counts.
+func (p *Process) gatewayCall(r *http.Request) (*Call, error) {
+	call, err := p.newCall(r, p.routeService(r))
+	if err != nil {
+		return nil, err
+	}
+	wire.RemoveInternal(call.Header)
+	call.External = true
+	p.grant(call, policy.Class(call.Policy.Class), call.Policy.RetryBudget)
+	return call, nil
+}
+
+// grant starts a user request.
+func (p *Process) grant(call *Call, class policy.Class, retries int) {
+	call.Request = uuid.NewString()
+	call.Priority = admission.Priority(int(class), call.Request)
+	call.Deadline = time.Now().Add(call.Policy.Deadline)
+	call.Budget = retrybudget.Open(retries)
+}
+
+// routeService returns the service that a caller's request is for.
+func (p *Process) routeService(r *http.Request) string {
+	host := hostName(r.Host)
+	for _, route := range p.Settings.Routes {
+		if route.Host != "" && route.Host != host {
+			continue
+		}
+		if strings.HasPrefix(r.URL.Path, route.PathPrefix) {
+			return route.Service
+		}
+	}
+	return firstLabel(host)
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+func firstLabel(host string) string {
+	label, _, _ := strings.Cut(host, ".")
+	return label
+}
+
+// outboundCall builds a call that the own back end makes. A call that carries
+// the context of a request that is being served belongs to its user request.
+// One without gets no retries and the lowest class.
+func (p *Process) outboundCall(r *http.Request) (*Call, error) {
+	call, err := p.newCall(r, firstLabel(hostName(r.Host)))
+	if err != nil {
+		return nil, err
+	}
+	token := r.Header.Get(wire.HeaderContext)
+	wire.RemoveInternal(call.Header)
+	execution := p.executions.find(token)
+	if execution == nil {
+		p.grant(call, policy.Bulk, 0)
+		return call, nil
+	}
+	call.Execution = execution
+	call.Request = execution.Request
+	call.Priority = execution.Priority
+	call.Budget = execution.Budget
+	call.Hops = execution.Hops + 1
+	call.Deadline = earlier(execution.Deadline, time.Now().Add(call.Policy.Deadline))
+	return call, nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// inboundCall builds a call from another process for the own back end.
+func (p *Process) inboundCall(r *http.Request) (*Call, error) {
+	service := r.Header.Get(wire.HeaderService)
+	if service == "" {
+		service = p.Settings.Service
+	}
+	if service != p.Settings.Service {
+		return nil, result.New(result.UnknownService, "this node serves %s, not %s", p.Settings.Service, service)
+	}
+	call, err := p.newCall(r, service)
+	if err != nil {
+		return nil, err
+	}
+	call.Inbound = true
+	if err := p.readContext(call); err != nil {
+		return nil, err
+	}
+	wire.RemoveInternal(call.Header)
+	call.Execution = &Execution{
+		Request:  call.Request,
+		Identity: call.ClaimKey.String(),
+		Priority: call.Priority,
+		Deadline: call.Deadline,
+		Budget:   call.Budget,
+		Hops:     call.Hops,
+	}
+	return call, nil
+}
+
+// readContext reads the internal headers of a call. A call without them comes
+// from outside the mesh and gets no retries and the lowest priority.
+func (p *Process) readContext(call *Call) error {
+	header := call.Header
+	call.Request = header.Get(wire.HeaderRequest)
+	call.Attempt = header.Get(wire.HeaderAttempt)
+	if call.Request == "" {
+		p.grant(call, policy.Bulk, 0)
+		call.Priority = 0
+		return nil
+	}
+	remaining := number(header, wire.HeaderRemaining, 0)
+	call.Deadline = time.Now().Add(time.Duration(remaining) * time.Microsecond)
+	call.Priority = min(max(number(header, wire.HeaderPriority, 0), 0), admission.MaximumPriority)
+	call.Budget = retrybudget.Open(min(number(header, wire.HeaderBudget, 0), policy.MaximumRetryBudget))
+	call.Hops = number(header, wire.HeaderHops, 0)
+	var key claims.Key
+	if err := key.UnmarshalText([]byte(header.Get(wire.HeaderClaimKey))); err != nil {
+		return err
+	}
+	call.ClaimKey = key
+	return nil
+}
+
+// number reads a whole number from a header.
+func number(header http.Header, name string, fallback int) int {
+	value, err := strconv.Atoi(header.Get(name))
+	if err != nil {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/membership/protocol.go
@@ -0,0 +1,273 @@
+package membership
+
+import (
+	"time"
+)
+
+// pauseFactor times the probe interval is the gap between two ticks from which
+// on this process must have been paused. Answers to messages sent before the
+// pause then say nothing about others.
+const pauseFactor = 3
+
+// Tick does what is due at the given time and returns the messages to send. It
+// should be called a few times in each GossipInterval.
+func (m *Machine) Tick(now time.Time) []Send {
+	if now.Sub(m.lastTick) > pauseFactor*m.config.ProbeInterval {
+		m.resume(now)
+	}
+	m.lastTick = now
+	m.expire(now)
+	sends := []Send{}
+	if !now.Before(m.nextProbe) {
+		m.nextProbe = now.Add(m.config.ProbeInterval)
+		sends = m.startProbe(now, sends)
+	}
+	if !now.Before(m.nextTalk) {
+		m.nextTalk = now.Add(m.config.GossipInterval)
+		sends = m.gossip(now, sends)
+	}
+	return sends
+}
+
+// resume gives all suspects their whole time again after a pause of this
+// process, since their contradictions may be waiting to be read.
+func (m *Machine) resume(now time.Time) {
+	m.paused = now
+	for _, known := range m.members {
+		if known.Status == Suspect {
+			known.deadline = now.Add(m.suspicionTime())
+		}
+	}
+}
+
+// expire declares suspects dead and forgets members that are dead for long.
+func (m *Machine) expire(now time.Time) {
+	for id, known := range m.members {
+		switch {
+		case known.Status == Suspect && now.After(known.deadline):
+			gone := known.Member
+			gone.Status = Dead
+			m.replace(now, known, gone)
+		case known.Status == Dead && now.Sub(known.since) > m.config.ForgetAfter:
+			m.digest ^= hashMember(known.Member)
+			delete(m.members, id)
+			m.changed = true
+		}
+	}
+}
+
+// startProbe probes the next member, and sometimes an address where part of
+// the mesh may be that this process does not know.
+func (m *Machine) startProbe(now time.Time, sends []Send) []Send {
+	if target := m.nextTarget(); target != nil {
+		started := &probe{target: target.ID, started: now}
+		sends = append(sends, m.send(now, target.Control, Ping, started))
+	}
+	if address := m.unknownAddress(); address != "" {
+		sends = append(sends, m.send(now, address, Sync, nil))
+	}
+	return sends
+}
+
+// nextTarget returns the next live member of the shuffled round.
+func (m *Machine) nextTarget() *record {
+	for range 2 {
+		for len(m.order) > 0 {
+			id := m.order[len(m.order)-1]
+			m.order = m.order[:len(m.order)-1]
+			if known, exists := m.members[id]; exists && known.Status != Dead {
+				return known
+			}
+		}
+		m.order = m.liveIDs()
+		m.config.Random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return nil
+}
+
+// liveIDs returns the ids of live members in order, so that a shuffle with a
+// seeded source is repeatable.
+func (m *Machine) liveIDs() []string {
+	ids := make([]string, 0, len(m.members))
+	for _, member := range m.Members() {
+		if member.ID != m.self.ID && member.Status != Dead {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// unknownAddressOdds is the share of probe rounds, one in this many, in which a
+// process that has peers looks for lost parts of the mesh.
+const unknownAddressOdds = 5
+
+// unknownAddress returns a seed or the address of a dead member to try, or "".
+func (m *Machine) unknownAddress() string {
+	candidates := []string{}
+	live := map[string]bool{m.self.Control: true}
+	for _, member := range m.Members() {
+		if member.Status != Dead {
+			live[member.Control] = true
+		}
+	}
+	alone := len(live) == 1
+	if !alone && m.config.Random.IntN(unknownAddressOdds) != 0 {
+		return ""
+	}
+	for _, seed := range m.seeds {
+		if !live[seed] {
+			candidates = append(candidates, seed)
+		}
+	}
+	for _, member := range m.Members() {
+		if member.Status == Dead && !live[member.Control] {
+			candidates = append(candidates, member.Control)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[m.config.Random.IntN(len(candidates))]
+}
+
+// gossip sends updates to a few random members while there are any.
+func (m *Machine) gossip(now time.Time, sends []Send) []Send {
+	if len(m.rumours.items) == 0 && m.rounds == 0 {
+		return sends
+	}
+	m.rounds = max(m.rounds-1, 0)
+	ids := m.liveIDs()
+	if len(ids) == 0 {
+		m.rumours.items = nil // nobody to tell; joining exchanges whole lists
+		return sends
+	}
+	for range min(m.config.GossipFanout, len(ids)) {
+		pick := m.config.Random.IntN(len(ids))
+		target := m.members[ids[pick]]
+		ids = append(ids[:pick], ids[pick+1:]...)
+		sends = append(sends, m.send(now, target.Control, Gossip, nil))
+	}
+	return sends
+}
+
+func (m *Machine) send(now time.Time, to string, kind Kind, of *probe) Send {
+	return Send{To: to, Message: m.message(kind), probe: of, origin: now}
+}
+
+// message builds a message with updates.
+func (m *Machine) message(kind Kind) Message {
+	built := Message{Kind: kind, From: m.self, Digest: m.digest}
+	if kind == Sync {
+		built.Updates = m.Members()
+	} else {
+		built.Updates = m.rumours.take(m.config.MaximumUpdates, spreadRounds(m.size()))
+	}
+	return built
+}
+
+// PingMessage returns a message for a probe on behalf of another process.
+func (m *Machine) PingMessage() Message { return m.message(Ping) }
+
+// Receive handles a message and returns the answer. For PingThrough the caller
+// probes the target itself and sets OK in the answer.
+func (m *Machine) Receive(now time.Time, message Message) Message {
+	m.learn(now, message)
+	if message.Kind == Sync {
+		return m.message(Sync)
+	}
+	reply := m.message(message.Kind)
+	// A sender that is suspected or believed dead here is told so, and can
+	// contradict at once.
+	if known, exists := m.members[message.From.ID]; exists && known.Status != Alive {
+		reply.Updates = append(reply.Updates, known.Member)
+	}
+	return reply
+}
+
+// Replied handles the answer to a message.
+func (m *Machine) Replied(now time.Time, sent Send, reply Message) []Send {
+	m.learn(now, reply)
+	if sent.probe != nil {
+		m.probeAnswered(now, sent, reply)
+	}
+	if reply.Digest != m.digest && sent.Message.Kind == Ping && now.Sub(m.lastSync) >= m.config.SyncInterval {
+		m.lastSync = now
+		return []Send{m.send(now, sent.To, Sync, nil)}
+	}
+	return nil
+}
+
+func (m *Machine) probeAnswered(now time.Time, sent Send, reply Message) {
+	if sent.Message.Kind == Ping || reply.OK {
+		sent.probe.done = true
+		return
+	}
+	sent.probe.pending--
+	m.giveUp(now, sent.probe)
+}
+
+// learn merges a message.
+func (m *Machine) learn(now time.Time, message Message) {
+	m.apply(now, message.From)
+	for _, update := range message.Updates {
+		m.apply(now, update)
+	}
+}
+
+// Failed handles a message that could not be delivered or was not answered in
+// time. It returns further messages to send.
+func (m *Machine) Failed(now time.Time, sent Send) []Send {
+	current := sent.probe
+	if current == nil || current.done || sent.origin.Before(m.paused) {
+		return nil
+	}
+	if sent.Message.Kind == Ping {
+		return m.probeThroughOthers(now, current)
+	}
+	current.pending--
+	m.giveUp(now, current)
+	return nil
+}
+
+// giveUp suspects the target once the direct probe and all indirect ones have
+// failed.
+func (m *Machine) giveUp(now time.Time, current *probe) {
+	if current.done || !current.direct || current.pending > 0 {
+		return
+	}
+	current.done = true
+	known, exists := m.members[current.target]
+	if !exists || known.Status != Alive {
+		return
+	}
+	suspected := known.Member
+	suspected.Status = Suspect
+	suspected.Accuser = m.self.ID
+	m.replace(now, known, suspected)
+}
+
+// probeThroughOthers asks other members to repeat a failed probe.
+func (m *Machine) probeThroughOthers(now time.Time, current *probe) []Send {
+	current.direct = true
+	target, exists := m.members[current.target]
+	if !exists || target.Status == Dead {
+		return nil
+	}
+	sends := []Send{}
+	ids := m.liveIDs()
+	m.config.Random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		if len(sends) == m.config.IndirectProbes {
+			break
+		}
+		if id == current.target {
+			continue
+		}
+		through := m.send(now, m.members[id].Control, PingThrough, current)
+		through.Message.Target = target.Control
+		sends = append(sends, through)
+	}
+	current.pending = len(sends)
+	m.giveUp(now, current)
+	return sends
+}
--- /dev/null
+++ b/membership/types.go
@@ -0,0 +1,153 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Status is what the mesh believes of a member.
+type Status int
+
+// Statuses. At the same incarnation the higher one wins.
+const (
+	Alive Status = iota
+	Suspect
+	Dead
+)
+
+var statusNames = []string{"alive", "suspect", "dead"}
+
+// String returns the name of the status.
+func (s Status) String() string {
+	if s < Alive || s > Dead {
+		return "unknown"
+	}
+	return statusNames[s]
+}
+
+// Member is what is known of one process.
+type Member struct {
+	ID      string `json:"id"`
+	Control string `json:"ctl"`           // address for control messages
+	Traffic string `json:"trf,omitempty"` // address for requests; empty for gateways
+	Region  string `json:"reg,omitempty"`
+	Zone    string `json:"zon,omitempty"`
+	Service string `json:"svc,omitempty"` // empty for gateways
+	Started int64  `json:"st"`            // start time, Unix milliseconds
+	Version uint64 `json:"inc"`           // incarnation, raised by the member itself
+	Status  Status `json:"sta,omitempty"`
+	Leaving bool   `json:"lv,omitempty"` // takes no new requests
+	Down    bool   `json:"dn,omitempty"` // its back end refuses connections
+	Accuser string `json:"by,omitempty"` // who suspects it
+}
+
+// Kind is the purpose of a message.
+type Kind int
+
+// Kinds of messages.
+const (
+	Ping        Kind = iota // are you there
+	PingThrough             // is the target there, ask it for me
+	Gossip                  // updates only
+	Sync                    // the whole list, in both directions
+)
+
+// Message is what processes send to each other and answer with.
+type Message struct {
+	Kind    Kind     `json:"kind"`
+	From    Member   `json:"from"`
+	Target  string   `json:"target,omitempty"` // PingThrough: control address to probe
+	Updates []Member `json:"updates,omitempty"`
+	Digest  uint64   `json:"digest"`       // of the sender's whole list
+	OK      bool     `json:"ok,omitempty"` // answer to PingThrough
+}
+
+// Send asks the caller to deliver a message.
+type Send struct {
+	To      string // control address
+	Message Message
+	probe   *probe // nil unless part of a probe
+	origin  time.Time
+}
+
+// Config configures a Machine.
+type Config struct {
+	// Self is the record of this process. ID, Control and Started are required.
+	Self Member
+
+	// ProbeInterval is the time between probes. Shorter finds failures sooner
+	// and costs more messages. Default 1s.
+	ProbeInterval time.Duration
+
+	// ProbeTimeout is how long the caller waits for an answer to a message.
+	// Longer tolerates slow members, shorter finds failures sooner. Default
+	// half the probe interval.
+	ProbeTimeout time.Duration
+
+	// IndirectProbes is the number of members asked to repeat a failed probe.
+	// More tolerates more broken paths. Default 3.
+	IndirectProbes int
+
+	// SuspicionIntervals is the number of probe intervals, times the decimal
+	// logarithm of the mesh size (at least 1), for which a suspect may
+	// contradict. Longer removes fewer healthy members, shorter finds failures
+	// sooner. Default 3.
+	SuspicionIntervals float64
+
+	// GossipInterval is the time between gossip messages while there are
+	// updates to spread. Default a fifth of the probe interval.
+	GossipInterval time.Duration
+
+	// GossipFanout is the number of members that each round of gossip goes to.
+	// Default 3.
+	GossipFanout int
+
+	// MaximumUpdates bounds the updates on one message, except Sync. Default 16.
+	MaximumUpdates int
+
+	// SyncInterval is the least time between two exchanges of whole lists.
+	// Default 30 probe intervals.
+	SyncInterval time.Duration
+
+	// ForgetAfter is how long dead members are remembered and probed. Default 1h.
+	ForgetAfter time.Duration
+
+	// Random is the source of random choices. Required.
+	Random *rand.Rand
+
+	// OnChange is called for each change of a member's record. May be nil.
+	OnChange func(before, after Member)
+}
+
+func (c *Config) setDefaults() {
+	if c.ProbeInterval == 0 {
+		c.ProbeInterval = time.Second
+	}
+	if c.ProbeTimeout == 0 {
+		c.ProbeTimeout = c.ProbeInterval / 2
+	}
+	if c.IndirectProbes == 0 {
+		c.IndirectProbes = 3
+	}
+	if c.SuspicionIntervals == 0 {
+		c.SuspicionIntervals = 3
+	}
+	if c.GossipInterval == 0 {
+		c.GossipInterval = c.ProbeInterval / 5
+	}
+	if c.GossipFanout == 0 {
+		c.GossipFanout = 3
+	}
+	if c.MaximumUpdates == 0 {
+		c.MaximumUpdates = 16
+	}
+	if c.SyncInterval == 0 {
+		c.SyncInterval = 30 * c.ProbeInterval
+	}
+	if c.ForgetAfter == 0 {
+		c.ForgetAfter = time.Hour
+	}
+	if c.OnChange == nil {
+		c.OnChange = func(Member, Member) {}
+	}
+}
--- /dev/null
+++ b/plugin/admission/setup.go
@@ -0,0 +1,203 @@
+// Package admission lets requests wait for a place beside the back end, or
+// refuses them. The decisions are made by package admission at the root.
+package admission
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+const name = "admission"
+
+// expireInterval is the time between two looks at the queue for requests whose
+// time has passed.
+const expireInterval = 5 * time.Millisecond
+
+func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+
+func setup(process *kernel.Process) error {
+	if !process.IsNode() {
+		return nil
+	}
+	p := &plugin{
+		process:    process,
+		controller: admission.NewController(time.Now(), admission.Config{}),
+	}
+	process.UseInbound(name, p.middleware)
+	process.SetLevel(func(now time.Time) int { return p.controller.State(now).Level })
+	process.Loop.Every(expireInterval, p.expire)
+	process.OnStatus(p.fillStatus)
+	p.registerMetrics(process.Metrics)
+	return nil
+}
+
+// plugin is the admission of one node.
+type plugin struct {
+	process    *kernel.Process
+	controller *admission.Controller
+	bounds     bounds
+	mutex      sync.Mutex
+	overloaded bool // owned by the control loop
+}
+
+// bounds are the settings that the controller was last given.
+type bounds struct {
+	minimum, maximum int
+	queueTime        time.Duration
+}
+
+func (p *plugin) expire(now time.Time) {
+	p.controller.Expire(now)
+	level := p.controller.State(now).Level
+	if (level > 0) != p.overloaded {
+		p.overloaded = level > 0
+		p.process.Log.Emit(event.AdmissionLevelSet, "overloaded", p.overloaded, "level", level)
+	}
+}
+
+func (p *plugin) fillStatus(status *wire.Status) {
+	state := p.controller.State(time.Now())
+	status.Limit, status.Level = state.Limit, state.Level
+}
+
+func (p *plugin) registerMetrics(registry *prometheus.Registry) {
+	gauge := func(name, help string, value func(admission.State) int) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
+			func() float64 { return float64(value(p.controller.State(time.Now()))) }))
+	}
+	gauge("loomcleat_admission_limit", "Requests that may be in flight to the back end.", func(s admission.State) int { return s.Limit })
+	gauge("loomcleat_admission_in_flight", "Requests in flight to the back end.", func(s admission.State) int { return s.InFlight })
+	gauge("loomcleat_admission_waiting", "Requests waiting for a place.", func(s admission.State) int { return s.Waiting })
+	gauge("loomcleat_admission_level", "Priority below which requests are refused, 0 to 1024.", func(s admission.State) int { return s.Level })
+}
+
+func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
+		p.setBounds(call)
+		if err := p.wait(call); err != nil {
+			return nil, err
+		}
+		return p.run(next, call)
+	})
+}
+
+// setBounds passes changed settings of the service to the controller.
+func (p *plugin) setBounds(call *kernel.Call) {
+	wanted := bounds{call.Policy.ConcurrencyMin, call.Policy.ConcurrencyMax, call.Policy.QueueTime}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if wanted == p.bounds {
+		return
+	}
+	p.bounds = wanted
+	p.controller.SetBounds(wanted.minimum, wanted.maximum, wanted.queueTime)
+}
+
+// wait waits for a place.
+func (p *plugin) wait(call *kernel.Call) error {
+	verdicts := make(chan admission.Verdict, 1)
+	ticket := p.controller.Ask(time.Now(), call.Priority, call.Deadline, func(verdict admission.Verdict) { verdicts <- verdict })
+	select {
+	case verdict := <-verdicts:
+		return refusal(verdict)
+	default:
+	}
+	select {
+	case verdict := <-verdicts:
+		return refusal(verdict)
+	case <-call.Context.Done():
+		return p.withdraw(call, ticket, verdicts)
+	}
+}
+
+// withdraw gives up waiting. The place may have come at the same moment.
+func (p *plugin) withdraw(call *kernel.Call, ticket *admission.Ticket, verdicts <-chan admission.Verdict) error {
+	if !p.controller.Withdraw(ticket) && <-verdicts == admission.Admitted {
+		p.controller.Done(time.Now(), 0, false, false)
+	}
+	if context.Cause(call.Context) == context.DeadlineExceeded {
+		return result.New(result.DeadlineTooShort, "the deadline passed while waiting for a place")
+	}
+	return result.New(result.CallerGone, "the caller went away while waiting for a place")
+}
+
+// retryAfter is the time after which a refused request may come again: about
+// the time in which the level follows a change of demand.
+const retryAfter = time.Second
+
+func refusal(verdict admission.Verdict) error {
+	switch verdict {
+	case admission.Admitted:
+		return nil
+	case admission.TooLate:
+		return result.New(result.DeadlineTooShort, "the back end would not answer within the time left")
+	case admission.BelowLevel:
+		return result.New(result.Overloaded, "the priority is below the admission level").WithRetryAfter(retryAfter)
+	default:
+		return result.New(result.Overloaded, "no place became free in time").WithRetryAfter(retryAfter)
+	}
+}
+
+// place is a place beside the back end that is given back once.
+type place struct {
+	plugin  *plugin
+	call    *kernel.Call
+	started time.Time
+	once    sync.Once
+}
+
+func (s *place) release(refused, counted bool) {
+	s.once.Do(func() {
+		now := time.Now()
+		own := now.Sub(s.started) - s.call.Execution.Waited(now)
+		s.plugin.controller.Done(now, max(own, 0), refused, counted)
+	})
+}
+
+// run passes the call on and gives the place back when the answer has been
+// read.
+func (p *plugin) run(next kernel.Handler, call *kernel.Call) (*kernel.Answer, error) {
+	taken := &place{plugin: p, call: call, started: time.Now()}
+	call.ReleasePlace = func() { taken.release(false, false) }
+	answer, err := next.Handle(call)
+	if err != nil {
+		taken.release(false, result.From(err).Code == result.DeadlineExceeded)
+		return nil, err
+	}
+	// A back end that refuses answers fast; that time says nothing about it.
+	refused := answer.StatusCode == 503 || answer.StatusCode == 429
+	answer.Body = &placeBody{ReadCloser: answer.Body, place: taken, refused: refused}
+	return answer, nil
+}
+
+// placeBody gives the place back at the end of the body.
+type placeBody struct {
+	io.ReadCloser
+	place   *place
+	refused bool
+}
+
+// Read implements io.Reader.
+func (b *placeBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err != nil {
+		b.place.release(b.refused, err == io.EOF)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *placeBody) Close() error {
+	b.place.release(b.refused, false)
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/plugin/configsync/peers.go
@@ -0,0 +1,63 @@
+package configsync
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// pullTimeout bounds the transfer of one document from a peer.
+const pullTimeout = 2 * time.Second
+
+// Heard implements kernel.Documents: it fetches what the peer has newer.
+func (s *synchronizer) Heard(peer string, revisions wire.Revisions) {
+	for _, d := range s.documents {
+		if revisions.Of(d.name) > d.revision.Load() && d.pulling.CompareAndSwap(false, true) {
+			go s.pull(peer, d)
+		}
+	}
+	policyKnown := s.documents[wire.DocumentPolicy].revision.Load()
+	if revisions.Confirmed && revisions.Policy <= policyKnown {
+		s.confirmed.Store(true)
+	}
+}
+
+// pull fetches one document from a peer.
+func (s *synchronizer) pull(peer string, d *document) {
+	defer d.pulling.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	var fetched wire.Document
+	path := wire.PathDocument + string(d.name)
+	if err := s.process.Control.Invoke(ctx, peer, http.MethodGet, path, nil, &fetched); err != nil {
+		return // the next message of any peer tries again
+	}
+	if s.offer(ctx, d, fetched.Data, peer) != nil {
+		return
+	}
+	if fetched.Confirmed && d.name == wire.DocumentPolicy {
+		s.confirmed.Store(true)
+	}
+}
+
+// serveDocument gives a peer the document that is in force here.
+func (s *synchronizer) serveDocument(w http.ResponseWriter, r *http.Request) {
+	d, exists := s.documents[wire.DocumentName(r.PathValue("name"))]
+	if !exists {
+		result.New(result.NotFound, "there is no document %q", r.PathValue("name")).WriteHTTP(w)
+		return
+	}
+	answer := wire.Document{Confirmed: s.confirmed.Load()}
+	err := s.process.Loop.Do(r.Context(), func(time.Time) {
+		answer.Revision, answer.Data = d.keeper.Revision(), d.keeper.Data()
+	})
+	if err != nil {
+		result.From(err).WriteHTTP(w)
+		return
+	}
+	kernel.WriteJSON(w, answer)
+}
--- /dev/null
+++ b/plugin/deadline/setup.go
@@ -0,0 +1,31 @@
+// Package deadline refuses requests that have no time left, before any work.
+package deadline
+
+import (
+	"time"
+
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+)
+
+const name = "deadline"
+
+// minimumRemaining is the time below which nothing can be done for a request.
+const minimumRemaining = time.Millisecond
+
+func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+
+func setup(process *kernel.Process) error {
+	process.UseInbound(name, refuse)
+	process.UseOutbound(name, refuse)
+	return nil
+}
+
+func refuse(next kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
+		if time.Until(call.Deadline) < minimumRemaining {
+			return nil, result.New(result.DeadlineTooShort, "no time is left for the request")
+		}
+		return next.Handle(call)
+	})
+}
--- /dev/null
+++ b/plugin/forward/setup.go
@@ -0,0 +1,153 @@
+// Package forward hands calls to the back end beside the node.
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+const name = "forward"
+
+func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+
+func setup(process *kernel.Process) error {
+	if !process.IsNode() {
+		return nil
+	}
+	f := &forward{
+		process: process,
+		transmitter: kernel.NewTransmitter(kernel.TransmitterConfig{
+			DialTimeout: time.Second,
+			MaximumIdle: 64,
+			IdleTimeout: 15 * time.Second,
+			Refused:     result.BackendUnreachable,
+		}),
+	}
+	process.UseInbound(name, func(kernel.Handler) kernel.Handler { return kernel.HandlerFunc(f.handle) })
+	process.OnStart(f.watch)
+	return nil
+}
+
+// forward is the way to one back end.
+type forward struct {
+	process     *kernel.Process
+	transmitter *kernel.Transmitter
+	down        atomic.Bool
+	draining    atomic.Bool
+}
+
+// handle sends the call to the back end.
+func (f *forward) handle(call *kernel.Call) (*kernel.Answer, error) {
+	call.Header.Set(wire.HeaderContext, call.Execution.Token)
+	response, err := f.transmitter.Send(call.Context, call, f.process.Settings.Backend, call.Header)
+	if err != nil {
+		if result.From(err).Code == result.BackendUnreachable {
+			f.setDown(true)
+		}
+		return nil, err
+	}
+	f.setDown(false)
+	if echo := response.Header.Get(wire.HeaderContext); echo != "" && echo != call.Execution.Token {
+		f.process.Log.Emit(event.AnswerMismatch, "backend", f.process.Settings.Backend)
+		_ = response.Body.Close() // unread, so that the connection is closed
+		return nil, result.New(result.AnswerMismatch, "the back end answered another request")
+	}
+	// What a back end says about outcomes inside the mesh does not count: it
+	// may pass on the refusal of a call of its own, and it did run itself.
+	wire.RemoveInternal(response.Header)
+	return &kernel.Answer{Response: response}, nil
+}
+
+// setDown announces that the back end refuses connections, or no longer does.
+func (f *forward) setDown(down bool) {
+	if f.down.Swap(down) == down {
+		return
+	}
+	number := event.BackendUp
+	if down {
+		number = event.BackendDown
+	}
+	f.process.Log.Emit(number, "backend", f.process.Settings.Backend)
+	f.announce()
+}
+
+func (f *forward) announce() {
+	f.process.Loop.Post(func(time.Time) {
+		leaving := f.process.Leaving() || f.draining.Load()
+		f.process.Mesh.SetState(leaving, f.down.Load())
+	})
+}
+
+// Intervals of the watch on the back end.
+const (
+	watchInterval = 500 * time.Millisecond
+	watchTimeout  = time.Second
+)
+
+// watch looks after the back end: a connection tells whether it is there, and
+// the health path, when there is one, whether it is draining. No other answer
+// of the health path counts.
+func (f *forward) watch(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	client := &http.Client{Timeout: watchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		f.setDown(!f.connects(ctx))
+		if path := f.process.Settings.BackendHealthPath; path != "" {
+			f.setDraining(f.saysDraining(ctx, client, path))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			f.transmitter.Close()
+			return
+		}
+	}
+}
+
+func (f *forward) connects(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: watchTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", f.process.Settings.Backend)
+	if err != nil {
+		return ctx.Err() != nil
+	}
+	_ = conn.Close()
+	return true
+}
+
+// drainingWord is what a back end says on its health path while it leaves.
+const drainingWord = "draining"
+
+func (f *forward) saysDraining(ctx context.Context, client *http.Client, path string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.process.Settings.Backend+path, nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return f.draining.Load() // nothing new is known
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+	return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(body), drainingWord)
+}
+
+func (f *forward) setDraining(draining bool) {
+	if f.draining.Swap(draining) == draining {
+		return
+	}
+	if draining {
+		f.process.Log.Emit(event.BackendDraining, "backend", f.process.Settings.Backend)
+	}
+	f.announce()
+}
--- /dev/null
+++ b/plugin/identity/setup.go
@@ -0,0 +1,83 @@
+// Package identity gives each call the key under which it may run at most once.
+package identity
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+const name = "identity"
+
+func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+
+func setup(process *kernel.Process) error {
+	process.UseOutbound(name, func(next kernel.Handler) kernel.Handler {
+		return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
+			minted := mintKey(call)
+			identify(call)
+			answer, err := next.Handle(call)
+			if err == nil && minted {
+				answer.Header.Set(wire.HeaderIdempotencyKey, call.Header.Get(wire.HeaderIdempotencyKey))
+			}
+			return answer, err
+		})
+	})
+	return nil
+}
+
+// mintKey gives a caller's request that may not be repeated an Idempotency-Key
+// when it has none, and reports whether it did. The caller is told the key.
+func mintKey(call *kernel.Call) bool {
+	if !call.External || call.Policy.Repeatable || call.Header.Get(wire.HeaderIdempotencyKey) != "" {
+		return false
+	}
+	call.Header.Set(wire.HeaderIdempotencyKey, call.Request)
+	return true
+}
+
+// Kinds of identities, so that keys of one kind never equal those of another.
+const (
+	kindGiven   = "given"   // by an Idempotency-Key
+	kindDerived = "derived" // from the execution that makes the call
+)
+
+// identify sets the key and the fingerprint of a call.
+//
+// With an Idempotency-Key, the same key for the same operation is the same
+// call, whoever repeats it. Credentials count, so that nobody gets the answer
+// of another caller who happened to choose the same key.
+//
+// Without one, a call of a back end is named after the execution that makes
+// it: the same call of a repeated execution gets the same key.
+func identify(call *kernel.Call) {
+	body, buffered := call.Body.Buffered()
+	call.Fingerprint = xxhash.Sum64(body)
+	target := call.URL.RequestURI()
+	if key := call.Header.Get(wire.HeaderIdempotencyKey); key != "" {
+		call.ClaimKey = claims.NewKey(kindGiven, call.Service, call.Method, target, key, call.Header.Get("Authorization"))
+		return
+	}
+	if call.Execution == nil || !buffered {
+		call.ClaimKey = claims.NewKey(kindDerived, call.Request, call.Service, call.Method, target)
+		if call.Execution != nil {
+			call.ClaimKey = streamedKey(call, target)
+		}
+		return
+	}
+	content := xxhash.Sum64String(call.Service+" "+call.Method+" "+target) ^ call.Fingerprint
+	ordinal := call.Execution.Ordinal(content)
+	call.ClaimKey = claims.NewKey(kindDerived, call.Execution.Identity, call.Service, call.Method, target,
+		strconv.FormatUint(call.Fingerprint, 16), strconv.Itoa(ordinal))
+}
+
+// streamedKey names a call whose body is not in memory by its length and order.
+func streamedKey(call *kernel.Call, target string) claims.Key {
+	length := call.Header.Get("Content-Length")
+	ordinal := call.Execution.Ordinal(xxhash.Sum64String(call.Service + " " + call.Method + " " + target + " " + length))
+	return claims.NewKey(kindDerived, call.Execution.Identity, call.Service, call.Method, target, length, strconv.Itoa(ordinal))
+}
--- /dev/null
+++ b/plugin/once/setup.go
@@ -0,0 +1,78 @@
+// Package once makes sure that a request that may not be repeated runs at most
+// once. The rules are those of package claims: before the back end sees the
+// request, a majority of the replicas of its key's group have granted it.
+package once
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+const name = "once"
+
+func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+
+func setup(process *kernel.Process) error {
+	o := &once{
+		process: process,
+		self:    claims.Process{ID: process.ID, Control: process.ControlAddress()},
+		runs:    newRuns(process.Settings.ClaimRetention.Std()),
+		wake:    make(chan struct{}, 1),
+	}
+	o.replica = claims.NewReplica(claims.ReplicaConfig{
+		Self:          o.self,
+		Retention:     process.Settings.ClaimRetention.Std(),
+		MaximumClaims: process.Settings.MaximumClaims,
+	})
+	process.Documents.Subscribe(wire.DocumentGroups, o.adopt)
+	process.HandleControl("POST "+wire.PathClaim, o.serveClaim)
+	process.HandleControl("POST "+wire.PathWithdraw, o.serveWithdraw)
+	process.HandleControl("POST "+wire.PathFinish, o.serveFinish)
+	process.HandleControl("POST "+wire.PathHandOver, o.serveHandOver)
+	process.HandleControl("POST "+wire.PathOutcome, o.serveOutcome)
+	process.HandleControl("GET "+wire.PathClaimStatus, o.serveClaimStatus)
+	process.Loop.Every(housekeepingInterval, o.housekeeping)
+	process.OnStart(o.collectClaims)
+	process.OnStatus(func(status *wire.Status) { status.Claims = int(o.held.Load()) })
+	if process.Store != nil {
+		process.OnStart(o.planGroups)
+		process.OnDrain(o.leaveGroups)
+	}
+	if process.IsNode() {
+		process.UseInbound(name, o.middleware)
+	}
+	process.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "loomcleat_claims", Help: "Claims that this process holds as a replica.",
+	}, func() float64 { return float64(o.held.Load()) }))
+	return nil
+}
+
+// housekeepingInterval is the time between two clean-ups of expired claims.
+const housekeepingInterval = 500 * time.Millisecond
+
+// adopt takes a new document of claim groups. It runs on the control loop.
+func (o *once) adopt(now time.Time, data []byte) {
+	document, err := claims.DecodeGroups(data)
+	if err != nil {
+		return // offers are checked before they are adopted
+	}
+	if o.replica.Adopt(now, document) {
+		o.groups.Store(document)
+		o.process.Log.Emit(event.ClaimGroupAdopted, "revision", document.Revision, "groups", len(document.Groups))
+		o.wakeCollector()
+	}
+}
+
+// housekeeping runs on the control loop.
+func (o *once) housekeeping(now time.Time) {
+	o.replica.Expire(now)
+	o.replica.Forget(now)
+	o.held.Store(int64(o.replica.Len()))
+	o.runs.expire(now)
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,150 @@
+package wire
+
+import (
+	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/membership"
+)
+
+// Paths of the control listener.
+const (
+	PathGossip      = "/v1/gossip"
+	PathDocument    = "/v1/documents/" // followed by a DocumentName
+	PathStatus      = "/v1/status"
+	PathLeave       = "/v1/leave"
+	PathClaim       = "/v1/claims/claim"
+	PathWithdraw    = "/v1/claims/withdraw"
+	PathFinish      = "/v1/claims/finish"
+	PathHandOver    = "/v1/claims/hand-over"
+	PathOutcome     = "/v1/claims/outcome"
+	PathClaimStatus = "/v1/claims/status"
+)
+
+// DocumentName names a document that is spread over the mesh.
+type DocumentName string
+
+// Documents.
+const (
+	DocumentPolicy DocumentName = "policy"
+	DocumentGroups DocumentName = "claim-groups"
+)
+
+// Revisions are the revisions of the spread documents that a process has.
+type Revisions struct {
+	Policy uint64 `json:"policy,omitempty"`
+	Groups uint64 `json:"groups,omitempty"`
+	// Confirmed says that the policy is known to be as new as that of the store
+	// or of another process since the start.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
+
+// Of returns the revision of one document.
+func (r Revisions) Of(name DocumentName) uint64 {
+	if name == DocumentGroups {
+		return r.Groups
+	}
+	return r.Policy
+}
+
+// Envelope is the message between two processes on PathGossip, and its answer.
+type Envelope struct {
+	Membership membership.Message `json:"membership"`
+	Revisions  Revisions          `json:"revisions"`
+}
+
+// Document is the answer on PathDocument.
+type Document struct {
+	Revision  uint64 `json:"revision"`
+	Data      []byte `json:"data"`
+	Confirmed bool   `json:"confirmed"` // see Revisions
+}
+
+// Empty is a message without content.
+type Empty struct{}
+
+// Leave tells a process that the machine list shows its machine as leaving.
+type Leave struct{}
+
+// Status is the answer on PathStatus: what one process knows of itself and of
+// the mesh.
+type Status struct {
+	ID        string              `json:"id"`
+	Role      string              `json:"role"`
+	Region    string              `json:"region"`
+	Zone      string              `json:"zone"`
+	Service   string              `json:"service,omitempty"`
+	Ready     bool                `json:"ready"`
+	Leaving   bool                `json:"leaving"`
+	Revisions Revisions           `json:"revisions"`
+	Members   []membership.Member `json:"members"`
+	InFlight  int64               `json:"in_flight"`
+	Limit     int                 `json:"limit"`
+	Level     int                 `json:"level"`
+	Claims    int                 `json:"claims"`
+}
+
+// ClaimRequest asks a replica for a claim.
+type ClaimRequest struct {
+	Group int          `json:"group"`
+	Epoch uint64       `json:"epoch"`
+	Claim claims.Claim `json:"claim"`
+}
+
+// ClaimReply is the answer of a replica.
+type ClaimReply struct {
+	Reply    claims.Reply `json:"reply"`
+	Revision uint64       `json:"revision"` // of the replica's claim groups
+}
+
+// ClaimUpdate withdraws a claim or stores the answer of its run.
+type ClaimUpdate struct {
+	Group  int            `json:"group"`
+	Key    claims.Key     `json:"key"`
+	Run    string         `json:"run"`
+	Answer *claims.Answer `json:"answer,omitempty"`
+}
+
+// HandOverRequest asks for the claims of a group for a new epoch.
+type HandOverRequest struct {
+	Group int    `json:"group"`
+	Epoch uint64 `json:"epoch"`
+	// Document is the Groups document with that epoch, so that the replica can
+	// adopt it first.
+	Document []byte `json:"document"`
+}
+
+// HandOverReply is the answer: OK is false when the replica cannot serve.
+type HandOverReply struct {
+	OK     bool                 `json:"ok"`
+	Claims []claims.Transferred `json:"claims"`
+}
+
+// OutcomeRequest asks a runner what became of its run of a key. Another process
+// that has got the runner's address does not answer for it.
+type OutcomeRequest struct {
+	Runner string     `json:"runner"`
+	Key    claims.Key `json:"key"`
+	Run    string     `json:"run"`
+}
+
+// RunState is what became of a run.
+type RunState int
+
+// States of a run.
+const (
+	RunUnknown  RunState = iota // the runner does not know the run
+	RunNeverRan                 // it was given up and never ran
+	RunActive                   // it is running
+	RunFinished                 // it has ended
+)
+
+// OutcomeReply is the answer of a runner.
+type OutcomeReply struct {
+	State  RunState       `json:"state"`
+	Answer *claims.Answer `json:"answer,omitempty"` // with RunFinished, when kept
+}
+
+// ClaimStatus says in which groups a process votes at their highest epoch.
+type ClaimStatus struct {
+	Revision uint64 `json:"revision"`
+	Voting   []int  `json:"voting"`
+}
