--- a/claims/replica.go
+++ b/claims/replica.go
@@ -60,14 +60,13 @@
 
 // groupState is what a process keeps of one group.
 type groupState struct {
-	group    Group           // the highest epoch known
-	votes    uint64          // the epoch at which this process votes, 0 for none
-	voted    uint64          // the last epoch at which it voted
-	claims   map[Key]*held   // of this and earlier epochs
-	sources  map[string]bool // replicas of the epoch before whose claims are here
-	votesAt  time.Time       // after a reset, when it starts to vote
-	retired  time.Time       // when it ceased to be a replica
-	fullUpTo time.Time
+	group   Group           // the highest epoch known
+	votes   uint64          // the epoch at which this process votes, 0 for none
+	voted   uint64          // the last epoch at which it voted
+	claims  map[Key]*held   // of this and earlier epochs
+	sources map[string]bool // replicas of the epoch before whose claims are here
+	votesAt time.Time       // after a reset, when it starts to vote
+	retired time.Time       // when it ceased to be a replica
 }
 
 // ReplicaConfig configures a Replica.
--- a/event/events.go
+++ b/event/events.go
@@ -21,12 +21,12 @@
 
 // Events of policy distribution.
 const (
-	PolicyAdopted     Number = 200
-	PolicyRejected    Number = 201
+	DocumentAdopted   Number = 200
+	DocumentRejected  Number = 201
 	StoreUnreachable  Number = 202
 	StoreRecovered    Number = 203
-	PolicyOlderSeen   Number = 204
-	PolicyWatchActive Number = 205
+	DocumentOlderSeen Number = 204
+	StoreWatchChanged Number = 205
 )
 
 // Events of membership.
@@ -79,12 +79,12 @@
 	{StartFailed, "start-failed", "error", "The process could not start; the numbered result says why."},
 	{DrainTimedOut, "drain-timed-out", "warn", "Requests were still in flight when the drain timeout passed and were cut off."},
 	{LibraryMessage, "library-message", "info", "A message of the HTTP framework."},
-	{PolicyAdopted, "policy-adopted", "info", "A higher policy revision is in force in this process."},
-	{PolicyRejected, "policy-rejected", "error", "A policy document failed its check; the revision before it stays in force."},
+	{DocumentAdopted, "document-adopted", "info", "A higher revision of the policy tree or of the claim groups is in force in this process."},
+	{DocumentRejected, "document-rejected", "error", "A policy tree or claim groups document failed its check; the revision before it stays in force."},
 	{StoreUnreachable, "store-unreachable", "warn", "The key-value store does not answer; the last policy stays in force and the read is retried."},
 	{StoreRecovered, "store-recovered", "info", "The key-value store answers again."},
-	{PolicyOlderSeen, "policy-older-seen", "warn", "The store or a peer showed an older policy revision, which was ignored."},
-	{PolicyWatchActive, "policy-watch-active", "info", "This process started or stopped watching the store on behalf of its peers."},
+	{DocumentOlderSeen, "document-older-seen", "warn", "The store or a peer showed an older revision, which was ignored."},
+	{StoreWatchChanged, "store-watch-changed", "info", "This process started or stopped watching the store on behalf of its peers."},
 	{MemberJoined, "member-joined", "info", "A process joined the mesh."},
 	{MemberSuspected, "member-suspected", "warn", "A member did not answer probes."},
 	{MemberDead, "member-dead", "warn", "A member was declared dead."},
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,133 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/loomcleat/loomcleat/membership"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+type statusCommand struct {
+	Node    string        `arg:"" help:"Control address of any process of the mesh, IP:port."`
+	Timeout time.Duration `help:"Time for each process to answer." default:"2s"`
+	Output  string        `help:"text or json." enum:"text,json" default:"text"`
+}
+
+// Run shows the status of all members.
+func (c *statusCommand) Run(output *streams) error {
+	statuses, err := meshStatus(c.Node, c.Timeout)
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(output.out, statuses)
+	}
+	table := tabwriter.NewWriter(output.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "PROCESS\tROLE\tSERVICE\tZONE\tSTATE\tPOLICY\tGROUPS\tIN FLIGHT\tLIMIT\tLEVEL\tCLAIMS")
+	for _, s := range statuses {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", s.ID, s.Role, s.Service, s.Zone, s.State,
+			s.Revisions.Policy, s.Revisions.Groups, s.InFlight, s.Limit, s.Level, s.Claims)
+	}
+	return table.Flush()
+}
+
+// memberStatus is the status of one member, or what the mesh says of one that
+// does not answer.
+type memberStatus struct {
+	wire.Status
+	State string `json:"state"`
+}
+
+// meshStatus asks one process for the members and then each member for its
+// status.
+func meshStatus(address string, timeout time.Duration) ([]memberStatus, error) {
+	first, err := askStatus(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	statuses := make([]memberStatus, len(first.Members))
+	var group sync.WaitGroup
+	for i, member := range first.Members {
+		group.Go(func() { statuses[i] = statusOf(member, timeout) })
+	}
+	group.Wait()
+	return statuses, nil
+}
+
+func statusOf(member membership.Member, timeout time.Duration) memberStatus {
+	known := memberStatus{State: member.Status.String()}
+	known.ID, known.Service, known.Zone, known.Region = member.ID, member.Service, member.Zone, member.Region
+	if member.Status == membership.Dead {
+		return known
+	}
+	answered, err := askStatus(member.Control, timeout)
+	if err != nil || answered.ID != member.ID {
+		known.State += ", no answer"
+		return known
+	}
+	known.Status = answered
+	known.Members = nil
+	switch {
+	case answered.Leaving:
+		known.State = "leaving"
+	case !answered.Ready:
+		known.State = "starting"
+	default:
+		known.State = "ready"
+	}
+	return known
+}
+
+func askStatus(address string, timeout time.Duration) (wire.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var status wire.Status
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+wire.PathStatus, nil)
+	if err != nil {
+		return status, result.Wrap(result.UsageInvalid, err, "control address %q", address)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, result.Wrap(result.NodeUnreachable, err, "no answer from %s", address)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return status, result.Wrap(result.NodeUnreachable, err, "the answer of %s is not understood", address)
+	}
+	return status, nil
+}
+
+// pollInterval is the time between two looks at the mesh.
+const pollInterval = 50 * time.Millisecond
+
+// waitInForce waits until all members that answer have the policy revision and
+// returns how many have it and how many there are.
+func waitInForce(address string, revision uint64, patience time.Duration) (inForce, members int) {
+	end := time.Now().Add(patience)
+	for {
+		inForce, members = 0, 0
+		statuses, err := meshStatus(address, time.Second)
+		if err == nil {
+			for _, s := range statuses {
+				if s.State == membership.Dead.String() {
+					continue
+				}
+				members++
+				if s.Revisions.Policy >= revision {
+					inForce++
+				}
+			}
+		}
+		if (members > 0 && inForce == members) || time.Now().After(end) {
+			return inForce, members
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,90 @@
+// Package daemon runs a loomcleat process under a kratos application: it opens
+// the platform adapters, handles signals and stops in order.
+package daemon
+
+import (
+	"io"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/platform/consulkv"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/settings"
+
+	_ "github.com/loomcleat/loomcleat/plugin/all" // the whole chain
+)
+
+// stopMargin is added to the announce and drain times before the application
+// gives up on an orderly stop.
+const stopMargin = 10 * time.Second
+
+// Open makes a Process with the adapters that its settings name.
+func Open(s settings.Settings, log *event.Logger) (*kernel.Process, error) {
+	options := kernel.Options{Settings: s, Log: log}
+	if s.Store != "" {
+		options.Store = consulkv.NewClient(consulkv.Config{BaseURL: s.Store})
+	}
+	if s.MachineList != "" {
+		options.Machines = consulkv.NewClient(consulkv.Config{BaseURL: s.MachineList})
+	}
+	return kernel.New(options)
+}
+
+// NewLogger returns the logger that the settings ask for.
+func NewLogger(s settings.Settings, output io.Writer) *event.Logger {
+	return event.NewLogger(event.Options{
+		Output: output,
+		Level:  s.Log.Level,
+		JSON:   s.Log.Format == "json",
+		Name:   "loomcleat",
+	})
+}
+
+// Run runs a process until it is told to stop by SIGTERM or SIGINT.
+func Run(s settings.Settings) error {
+	log := NewLogger(s, os.Stderr)
+	UseLibraryLog(log)
+	process, err := Open(s, log)
+	if err != nil {
+		log.Emit(event.StartFailed, "code", int(result.From(err).Code), "error", err)
+		return err
+	}
+	patience := s.AnnounceTime.Std() + s.DrainTimeout.Std() + stopMargin
+	return RunServers(patience, process)
+}
+
+// RunServers runs servers in one application until SIGTERM or SIGINT.
+func RunServers(patience time.Duration, list ...transport.Server) error {
+	app := kratos.New(
+		kratos.Name("loomcleat"),
+		kratos.Server(list...),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(patience),
+	)
+	return app.Run()
+}
+
+// libraryLog passes messages of kratos on as numbered events.
+type libraryLog struct {
+	log *event.Logger
+}
+
+// Log implements the Logger of kratos.
+func (l libraryLog) Log(level kratoslog.Level, pairs ...any) error {
+	if level >= kratoslog.LevelWarn {
+		l.log.Emit(event.LibraryMessage, append([]any{"library_level", level.String()}, pairs...)...)
+	}
+	return nil
+}
+
+// UseLibraryLog makes kratos log through log. It is global to the program.
+func UseLibraryLog(log *event.Logger) {
+	kratoslog.SetLogger(libraryLog{log: log})
+}
--- /dev/null
+++ b/internal/lab/demo.go
@@ -0,0 +1,40 @@
+package lab
+
+import (
+	"github.com/loomcleat/loomcleat/internal/standin/backend"
+	"github.com/loomcleat/loomcleat/policy"
+)
+
+// DemoGraph is the call graph of the demo: bookings check a fare and charge.
+func DemoGraph() backend.Graph {
+	return backend.Graph{Services: map[string]backend.Service{
+		"booking": {Slots: 20, Queue: 100, Routes: []backend.Route{
+			{Match: "POST /bookings", Work: "2ms", Stages: [][]backend.Call{
+				{{Service: "payment", Method: "GET", Path: "/fares/1"}},
+				{{Service: "payment", Method: "POST", Path: "/charges"}},
+			}},
+			{Match: "GET /**", Work: "1ms"},
+		}},
+		"payment": {Slots: 20, Queue: 100, Routes: []backend.Route{
+			{Match: "POST /charges", Work: "3ms"},
+			{Match: "GET /**", Work: "1ms"},
+		}},
+	}}
+}
+
+// DemoPolicy is the policy tree of the demo.
+func DemoPolicy() []policy.Change {
+	return []policy.Change{
+		{Path: "ferries", Key: "class", Value: "interactive"},
+		{Path: "ferries/sales/booking", Key: "deadline", Value: "2s"},
+		{Path: "ferries/sales/booking POST /bookings", Key: "class", Value: "critical"},
+		{Path: "ferries/sales/payment", Key: "deadline", Value: "1s"},
+	}
+}
+
+// DemoLoad is the load of the demo: mostly reading, some bookings.
+func DemoLoad() []LoadRequest {
+	read := LoadRequest{Service: "booking", Method: "GET", Path: "/sailings"}
+	book := LoadRequest{Service: "booking", Method: "POST", Path: "/bookings"}
+	return []LoadRequest{read, read, read, book}
+}
--- /dev/null
+++ b/internal/lab/mesh.go
@@ -0,0 +1,264 @@
+// Package lab runs whole meshes inside one program, with stand-ins for the
+// platform and the back ends. Demos, tests and measurements use it.
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/internal/daemon"
+	"github.com/loomcleat/loomcleat/internal/standin/backend"
+	"github.com/loomcleat/loomcleat/internal/standin/consul"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/platform/consulkv"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/policy/editor"
+	"github.com/loomcleat/loomcleat/settings"
+)
+
+// MeshConfig describes a mesh.
+type MeshConfig struct {
+	// Graph is the call graph; each of its services gets Backends back ends.
+	Graph backend.Graph
+	// Backends is the number of back ends of each service.
+	Backends int
+	// Gateways is the number of gateways.
+	Gateways int
+	// Zones are the names of the zones, used in turn. Default one zone.
+	Zones []string
+	// Policy is the first edit of the policy tree.
+	Policy []policy.Change
+	// Log receives the events of all processes. Default none.
+	Log *event.Logger
+	// Adjust changes the settings of each process. May be nil.
+	Adjust func(*settings.Settings)
+	// KeepRecords makes back ends remember each request that they ran.
+	KeepRecords bool
+}
+
+// Node is a node with its back end.
+type Node struct {
+	Process *kernel.Process
+	Backend *backend.Backend
+	Service string
+	server  *http.Server
+}
+
+// Mesh is a running mesh.
+type Mesh struct {
+	Platform    *consul.Server
+	PlatformURL string
+	Store       *consulkv.Client
+	Nodes       []*Node
+	Gateways    []*kernel.Process
+
+	config MeshConfig
+	server *http.Server
+	mutex  sync.Mutex
+	seeds  []string
+	count  int
+}
+
+// StartMesh starts a mesh and waits until all processes are ready.
+func StartMesh(ctx context.Context, config MeshConfig) (*Mesh, error) {
+	if len(config.Zones) == 0 {
+		config.Zones = []string{"z1"}
+	}
+	if config.Log == nil {
+		config.Log = event.Discard()
+	}
+	m := &Mesh{config: config, Platform: consul.NewServer()}
+	if err := m.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	for service := range config.Graph.Services {
+		for range config.Backends {
+			if _, err := m.AddNode(service); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for range config.Gateways {
+		if _, err := m.AddGateway(); err != nil {
+			return nil, err
+		}
+	}
+	return m, m.WaitReady(ctx)
+}
+
+func (m *Mesh) startPlatform(ctx context.Context) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	m.PlatformURL = "http://" + listener.Addr().String()
+	m.server = &http.Server{Handler: m.Platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = m.server.Serve(listener) }()
+	m.Store = consulkv.NewClient(consulkv.Config{BaseURL: m.PlatformURL})
+	if len(m.config.Policy) == 0 {
+		return nil
+	}
+	_, err = editor.New(m.Store, "lab").Apply(ctx, m.config.Policy)
+	return err
+}
+
+// settingsFor returns the settings of the next process.
+func (m *Mesh) settingsFor(role settings.Role) settings.Settings {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	s := settings.Default(role)
+	s.Zone = m.config.Zones[m.count%len(m.config.Zones)]
+	s.Listen, s.Control = "127.0.0.1:0", "127.0.0.1:0"
+	s.Store, s.MachineList = m.PlatformURL, m.PlatformURL
+	s.Seeds = append([]string{}, m.seeds...)
+	s.ID = fmt.Sprintf("%s-%d", role, m.count)
+	s.AnnounceTime = settings.Duration(300 * time.Millisecond)
+	s.ProbeInterval = settings.Duration(200 * time.Millisecond)
+	m.count++
+	if m.config.Adjust != nil {
+		m.config.Adjust(&s)
+	}
+	return s
+}
+
+// open makes a process, starts it and enters it in the machine list.
+func (m *Mesh) open(s settings.Settings) (*kernel.Process, error) {
+	process, err := daemon.Open(s, m.config.Log.With("process", s.ID))
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = process.Start(context.Background()) }()
+	m.mutex.Lock()
+	m.seeds = append(m.seeds, process.ControlAddress())
+	m.mutex.Unlock()
+	m.Platform.Register(catalogRow(process))
+	return process, nil
+}
+
+// catalogRow is the row of the machine list for a process.
+func catalogRow(process *kernel.Process) consulkv.CatalogRow {
+	address, _ := net.ResolveTCPAddr("tcp", process.ControlAddress())
+	return consulkv.CatalogRow{
+		ServiceID:      process.ID,
+		ServiceAddress: address.IP.String(),
+		ServicePort:    address.Port,
+		ServiceMeta:    map[string]string{consulkv.MetaZone: process.Settings.Zone},
+	}
+}
+
+// AddGateway starts a gateway.
+func (m *Mesh) AddGateway() (*kernel.Process, error) {
+	process, err := m.open(m.settingsFor(settings.RoleGateway))
+	if err == nil {
+		m.Gateways = append(m.Gateways, process)
+	}
+	return process, err
+}
+
+// AddNode starts a back end and its node.
+func (m *Mesh) AddNode(service string) (*Node, error) {
+	stub, err := backend.New(m.config.Graph.Services[service], "", m.config.KeepRecords)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{Backend: stub, Service: service, server: &http.Server{Handler: stub, ReadHeaderTimeout: 10 * time.Second}}
+	go func() { _ = node.server.Serve(listener) }()
+	s := m.settingsFor(settings.RoleNode)
+	s.Service = service
+	s.Backend = listener.Addr().String()
+	s.BackendHealthPath = backend.HealthPath
+	if node.Process, err = m.open(s); err != nil {
+		return nil, err
+	}
+	stub.SetOutbound(node.Process.OutboundAddress())
+	m.mutex.Lock()
+	m.Nodes = append(m.Nodes, node)
+	m.mutex.Unlock()
+	return node, nil
+}
+
+// Stop ends a node and its back end in order.
+func (n *Node) Stop() {
+	_ = n.Process.Stop(context.Background())
+	_ = n.server.Shutdown(context.Background())
+}
+
+// Kill ends a node and its back end at once.
+func (n *Node) Kill() {
+	n.Process.Kill()
+	_ = n.server.Close()
+}
+
+// Processes returns all processes.
+func (m *Mesh) Processes() []*kernel.Process {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	all := append([]*kernel.Process{}, m.Gateways...)
+	for _, node := range m.Nodes {
+		all = append(all, node.Process)
+	}
+	return all
+}
+
+// WaitReady waits until all processes take requests, know each other and the
+// claim groups.
+func (m *Mesh) WaitReady(ctx context.Context) error {
+	return waitFor(ctx, "the mesh to be ready", func() bool {
+		all := m.Processes()
+		for _, process := range all {
+			status := process.Status()
+			if !status.Ready || len(status.Members) < len(all) || status.Revisions.Groups == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// WaitRevision waits until all processes have the policy revision.
+func (m *Mesh) WaitRevision(ctx context.Context, revision uint64) error {
+	return waitFor(ctx, fmt.Sprintf("policy revision %d everywhere", revision), func() bool {
+		for _, process := range m.Processes() {
+			if process.Documents.Revisions().Policy < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+const waitInterval = 5 * time.Millisecond
+
+func waitFor(ctx context.Context, what string, done func() bool) error {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for %s: %w", what, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Close ends everything at once.
+func (m *Mesh) Close() {
+	for _, process := range m.Processes() {
+		process.Kill()
+	}
+	for _, node := range m.Nodes {
+		_ = node.server.Close()
+	}
+	_ = m.server.Close()
+	m.Store.Close()
+}
--- /dev/null
+++ b/internal/standin/backend/backend.go
@@ -0,0 +1,356 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// Request headers that tell the stand-in what to do.
+const (
+	HeaderStatus = "X-Stub-Status" // answer with this status
+	HeaderBytes  = "X-Stub-Bytes"  // answer with a body of this many bytes
+	HeaderCut    = "X-Stub-Cut"    // break the connection in the middle of the body
+	HeaderDelay  = "X-Stub-Delay"  // work this much longer
+	HeaderTag    = "X-Stub-Tag"    // kept in the record and passed on to calls
+	HeaderChunks = "X-Stub-Chunks" // send the body in chunks of unknown total
+)
+
+// Answer headers that tell what the stand-in saw.
+const (
+	HeaderSeenTarget = "X-Seen-Target"
+	HeaderSeenHost   = "X-Seen-Host"
+	HeaderSeenMethod = "X-Seen-Method"
+)
+
+// controlPrefix starts the paths of the stand-in's own controls.
+const controlPrefix = "/_stub/"
+
+// Run is one request that the stand-in ran.
+type Run struct {
+	Tag    string `json:"tag"`
+	Method string `json:"method"`
+	Target string `json:"target"`
+	Key    string `json:"key"` // Idempotency-Key
+}
+
+// Faults says how the stand-in misbehaves. The zero value is a healthy one.
+type Faults struct {
+	SlowFactor float64 `json:"slow_factor"` // times the work, 0: as configured
+	FailShare  float64 `json:"fail_share"`  // share of requests that fail after they ran
+	CutShare   float64 `json:"cut_share"`   // share whose answer is cut off after they ran
+	Draining   bool    `json:"draining"`    // says so on the health path
+	HealthLies bool    `json:"health_lies"` // the health path says that it is unwell
+}
+
+// Backend is the stand-in.
+type Backend struct {
+	service  Service
+	outbound string // address for calls, "" for none
+	client   *http.Client
+	slots    chan struct{}
+	waiting  chan struct{}
+
+	mutex  sync.Mutex
+	runs   []Run
+	count  int
+	faults Faults
+	keep   bool
+}
+
+// New returns a stand-in for one back end of service. Calls go to outbound, the
+// address of its node. keepRecord keeps every run in memory.
+func New(service Service, outbound string, keepRecord bool) (*Backend, error) {
+	if err := service.prepare(); err != nil {
+		return nil, err
+	}
+	b := &Backend{service: service, outbound: outbound, keep: keepRecord}
+	b.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		DisableCompression:  true,
+		Proxy:               nil,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	if service.Slots > 0 {
+		b.slots = make(chan struct{}, service.Slots)
+		b.waiting = make(chan struct{}, service.Slots+service.Queue)
+	}
+	return b, nil
+}
+
+// SetFaults replaces the faults in force.
+func (b *Backend) SetFaults(faults Faults) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.faults = faults
+}
+
+// SetOutbound changes the address for calls.
+func (b *Backend) SetOutbound(address string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.outbound = address
+}
+
+// Runs returns the record.
+func (b *Backend) Runs() []Run {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return append([]Run{}, b.runs...)
+}
+
+// Count returns the number of requests that were run.
+func (b *Backend) Count() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.count
+}
+
+func (b *Backend) currentFaults() Faults {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.faults
+}
+
+// ServeHTTP implements http.Handler.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, controlPrefix) {
+		b.serveControl(w, r)
+		return
+	}
+	release, ok := b.takeSlot(r)
+	if !ok {
+		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+		return
+	}
+	defer release()
+	b.record(r)
+	route := b.service.find(r.Method, r.URL.EscapedPath())
+	faults := b.currentFaults()
+	b.work(r, route, faults)
+	if status, outcome := b.makeCalls(r, route); status != 0 {
+		if outcome != "" {
+			w.Header().Set(result.HeaderOutcome, outcome) // as a careless back end would
+		}
+		http.Error(w, "a call of this back end failed", status)
+		return
+	}
+	switch {
+	case rand.Float64() < faults.CutShare:
+		panic(http.ErrAbortHandler)
+	case rand.Float64() < faults.FailShare:
+		http.Error(w, "failed after it ran", http.StatusServiceUnavailable)
+	default:
+		b.answer(w, r)
+	}
+}
+
+// takeSlot waits for a slot, or reports false when too many wait.
+func (b *Backend) takeSlot(r *http.Request) (release func(), ok bool) {
+	if b.slots == nil {
+		return func() {}, true
+	}
+	select {
+	case b.waiting <- struct{}{}:
+	default:
+		return nil, false
+	}
+	select {
+	case b.slots <- struct{}{}:
+		return func() { <-b.slots; <-b.waiting }, true
+	case <-r.Context().Done():
+		<-b.waiting
+		return nil, false
+	}
+}
+
+func (b *Backend) record(r *http.Request) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.count++
+	if b.keep {
+		b.runs = append(b.runs, Run{
+			Tag:    r.Header.Get(HeaderTag),
+			Method: r.Method,
+			Target: r.RequestURI,
+			Key:    r.Header.Get(wire.HeaderIdempotencyKey),
+		})
+	}
+}
+
+// work takes the time of the route. It ends early when the caller cancels.
+func (b *Backend) work(r *http.Request, route *Route, faults Faults) {
+	wait := route.work
+	if faults.SlowFactor > 0 {
+		wait = time.Duration(float64(wait) * faults.SlowFactor)
+	}
+	if extra, err := time.ParseDuration(r.Header.Get(HeaderDelay)); err == nil {
+		wait += extra
+	}
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
+
+// makeCalls makes the calls of the route. It returns the status of the first
+// that failed, 0 for none, and the outcome header that came with it.
+func (b *Backend) makeCalls(r *http.Request, route *Route) (status int, outcome string) {
+	for _, stage := range route.Stages {
+		failures := make(chan *http.Response, len(stage))
+		var group sync.WaitGroup
+		for _, call := range stage {
+			group.Go(func() {
+				if response := b.call(r, call); response != nil {
+					failures <- response
+				}
+			})
+		}
+		group.Wait()
+		select {
+		case failed := <-failures:
+			return failed.StatusCode, failed.Header.Get(result.HeaderOutcome)
+		default:
+		}
+	}
+	return 0, ""
+}
+
+// call makes one call and returns the response when it failed.
+func (b *Backend) call(r *http.Request, call Call) *http.Response {
+	b.mutex.Lock()
+	outbound := b.outbound
+	b.mutex.Unlock()
+	failed := &http.Response{StatusCode: http.StatusBadGateway}
+	request, err := http.NewRequestWithContext(r.Context(), call.Method, "http://"+outbound+call.Path, nil)
+	if err != nil {
+		return failed
+	}
+	request.Host = call.Service
+	request.Header.Set(wire.HeaderContext, r.Header.Get(wire.HeaderContext))
+	request.Header.Set(HeaderTag, r.Header.Get(HeaderTag))
+	response, err := b.client.Do(request)
+	if err != nil {
+		return failed
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	if err != nil || response.StatusCode >= http.StatusInternalServerError {
+		return response
+	}
+	return nil
+}
+
+// answer echoes the body of the request, or sends what the headers ask for.
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderSeenTarget, r.RequestURI)
+	w.Header().Set(HeaderSeenHost, r.Host)
+	w.Header().Set(HeaderSeenMethod, r.Method)
+	if tag := r.Header.Get(HeaderTag); tag != "" {
+		w.Header().Set(HeaderTag, tag)
+	}
+	status := http.StatusOK
+	if wanted, err := strconv.Atoi(r.Header.Get(HeaderStatus)); err == nil {
+		status = wanted
+	}
+	size, err := strconv.Atoi(r.Header.Get(HeaderBytes))
+	if err != nil {
+		w.WriteHeader(status)
+		_, _ = io.Copy(flushWriter{w}, r.Body)
+		return
+	}
+	b.sendBytes(w, r, status, size)
+}
+
+// sendBytes sends a body of the given size, whole or cut.
+func (b *Backend) sendBytes(w http.ResponseWriter, r *http.Request, status, size int) {
+	if r.Header.Get(HeaderChunks) == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+	}
+	w.WriteHeader(status)
+	body := strings.Repeat("0123456789abcdef", size/16+1)[:size]
+	if r.Header.Get(HeaderCut) != "" {
+		_, _ = io.WriteString(w, body[:size/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// flushWriter sends each piece at once, so that streams pass through.
+type flushWriter struct {
+	w http.ResponseWriter
+}
+
+// Write implements io.Writer.
+func (f flushWriter) Write(data []byte) (int, error) {
+	n, err := f.w.Write(data)
+	_ = http.NewResponseController(f.w).Flush()
+	return n, err
+}
+
+func (b *Backend) serveControl(w http.ResponseWriter, r *http.Request) {
+	switch strings.TrimPrefix(r.URL.Path, controlPrefix) {
+	case "runs":
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(b.Runs())
+	case "count":
+		_, _ = io.WriteString(w, strconv.Itoa(b.Count()))
+	case "faults":
+		var faults Faults
+		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		b.SetFaults(faults)
+	case "health":
+		b.serveHealth(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// HealthPath is the path on which the stand-in says that it is draining.
+const HealthPath = controlPrefix + "health"
+
+func (b *Backend) serveHealth(w http.ResponseWriter) {
+	faults := b.currentFaults()
+	switch {
+	case faults.Draining:
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+	case faults.HealthLies:
+		http.Error(w, "unwell", http.StatusInternalServerError)
+	default:
+		_, _ = io.WriteString(w, "ok")
+	}
+}
+
+// Serve serves on the listener until ctx ends, then drains.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	return server.Shutdown(stop)
+}
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -118,12 +118,12 @@
 func (s *synchronizer) offer(ctx context.Context, d *document, data []byte, from string) error {
 	revision, err := d.revisionOf(data)
 	if err != nil {
-		s.process.Log.Emit(event.PolicyRejected, "document", string(d.name), "from", from, "error", err)
+		s.process.Log.Emit(event.DocumentRejected, "document", string(d.name), "from", from, "error", err)
 		return err
 	}
 	return s.process.Loop.Do(ctx, func(now time.Time) {
 		if revision < d.keeper.Revision() {
-			s.process.Log.Emit(event.PolicyOlderSeen, "document", string(d.name), "from", from,
+			s.process.Log.Emit(event.DocumentOlderSeen, "document", string(d.name), "from", from,
 				"revision", revision, "in_force", d.keeper.Revision())
 		}
 		if !d.keeper.Offer(revision, data) {
@@ -134,7 +134,7 @@
 		}
 		d.revision.Store(revision)
 		s.process.Mesh.Announce()
-		s.process.Log.Emit(event.PolicyAdopted, "document", string(d.name), "revision", revision, "from", from)
+		s.process.Log.Emit(event.DocumentAdopted, "document", string(d.name), "revision", revision, "from", from)
 	})
 }
 
@@ -152,8 +152,14 @@
 func (s *synchronizer) watch(ctx context.Context, d *document) {
 	position := uint64(0)
 	failures := 0
+	active := false
 	for ctx.Err() == nil {
-		if s.confirmed.Load() && !s.watches() {
+		wanted := !s.confirmed.Load() || s.watches()
+		if wanted != active {
+			active = wanted
+			s.process.Log.Emit(event.StoreWatchChanged, "document", string(d.name), "watching", active)
+		}
+		if !active {
 			position = 0
 			pause(ctx, idleWait)
 			continue
--- a/policy/resolve.go
+++ b/policy/resolve.go
@@ -197,3 +197,30 @@
 		return false
 	}
 }
+
+// Value is one key of an Effective as text.
+type Value struct {
+	Key   string
+	Value string
+}
+
+// Values returns the keys of e as text, in the order of FieldNames.
+func (e Effective) Values() []Value {
+	deadline, queueTime := Duration(e.Deadline), Duration(e.QueueTime)
+	all := Settings{
+		Class:          &e.Class,
+		Repeatable:     &e.Repeatable,
+		RetryBudget:    &e.RetryBudget,
+		RetryRatio:     &e.RetryRatio,
+		Deadline:       &deadline,
+		ConcurrencyMin: &e.ConcurrencyMin,
+		ConcurrencyMax: &e.ConcurrencyMax,
+		QueueTime:      &queueTime,
+	}
+	values := make([]Value, 0, len(fields))
+	for _, f := range fields {
+		text, _ := f.show(&all)
+		values = append(values, Value{Key: f.name, Value: text})
+	}
+	return values
+}
