End-to-end test on real processes; full-duplex answers; lines of wrong durations

Cause: a request body and its answer did not stream at the same time, and a 10 MB echo came back short: Go's HTTP server reads the rest of the request before the first byte of an answer. Wrong durations were reported on line 0, since the YAML library gives no position for errors of custom types.

--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,428 @@
+// Package e2e proves promises on real processes: the binaries are built,
+// started on loopback, killed, frozen and cut.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/loomcleat/loomcleat/internal/standin/backend"
+	"github.com/loomcleat/loomcleat/internal/standin/consul"
+	"github.com/loomcleat/loomcleat/platform/consulkv"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// binaries is the folder of the built programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "loomcleat-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binaries = folder
+	build := exec.Command("go", "build", "-o", folder, "../cmd/loomcleat", "../cmd/loomcleat-lab")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building: %v\n%s", err, output)
+		os.Exit(1)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(status)
+}
+
+// patience bounds every wait of these tests. It is far above what is expected,
+// because nothing here asserts speed.
+const patience = 60 * time.Second
+
+// program is one started process.
+type program struct {
+	t      *testing.T
+	name   string
+	cmd    *exec.Cmd
+	log    *syncBuffer
+	exited chan struct{}
+	err    error
+}
+
+// syncBuffer is a buffer for the output of a process.
+type syncBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *syncBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+func start(t *testing.T, name, binary string, arguments ...string) *program {
+	t.Helper()
+	p := &program{t: t, name: name, log: &syncBuffer{}, exited: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, binary), arguments...)
+	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if t.Failed() {
+			t.Logf("== %s\n%s", p.name, tail(p.log.String(), 4000))
+		}
+	})
+	return p
+}
+
+func tail(text string, limit int) string {
+	if len(text) > limit {
+		return "...\n" + text[len(text)-limit:]
+	}
+	return text
+}
+
+func (p *program) signal(signal syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		_ = p.cmd.Process.Signal(signal)
+	}
+}
+
+func (p *program) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// terminate stops the process in order and waits for its end.
+func (p *program) terminate() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		p.t.Errorf("%s did not end after SIGTERM", p.name)
+	}
+}
+
+// freePort returns a loopback address that is free now.
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// member is a node or gateway process with its addresses.
+type member struct {
+	*program
+	service, zone                          string
+	listen, control, admin, outbound, back string
+	backend                                *program
+	arguments                              []string
+}
+
+// cluster is a mesh of real processes. The platform stand-in runs in the test,
+// so that it can be told to fail.
+type cluster struct {
+	t        *testing.T
+	platform *consul.Server
+	url      string
+	graph    string
+	nodes    []*member
+	gateways []*member
+	extra    []string // settings flags for all
+	count    int
+	file     string // settings file, "" for none
+}
+
+// newCluster starts the platform.
+func newCluster(t *testing.T, graph string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, platform: consul.NewServer(), graph: filepath.Join(t.TempDir(), "graph.yaml")}
+	if err := os.WriteFile(c.graph, []byte(graph), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: c.platform.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c.url = "http://" + listener.Addr().String()
+	return c
+}
+
+// settings writes a settings file that all members use.
+func (c *cluster) settings(text string) {
+	c.file = filepath.Join(c.t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(c.file, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// fastSettings keep these tests short: the times between messages are shorter
+// than the defaults, nothing else differs.
+const fastSettings = "probe_interval: 200ms\nannounce_time: 500ms\nclaim_groups: 4\n"
+
+func (c *cluster) seeds() string {
+	list := []string{}
+	for _, m := range append(append([]*member{}, c.nodes...), c.gateways...) {
+		list = append(list, m.control)
+	}
+	return strings.Join(list, ",")
+}
+
+func (c *cluster) common(m *member) []string {
+	arguments := []string{"--listen", m.listen, "--control", m.control, "--admin", m.admin,
+		"--zone", m.zone, "--store", c.url, "--machine-list", c.url, "--id", m.name()}
+	if c.file != "" {
+		arguments = append(arguments, "--config", c.file)
+	}
+	if seeds := c.seeds(); seeds != "" {
+		arguments = append(arguments, "--seeds", seeds)
+	}
+	return append(arguments, c.extra...)
+}
+
+func (m *member) name() string {
+	return "m" + strings.ReplaceAll(strings.ReplaceAll(m.control, ".", "-"), ":", "-")
+}
+
+// register enters a member in the machine list, as the platform would.
+func (c *cluster) register(m *member) {
+	host, port, _ := net.SplitHostPort(m.control)
+	number := 0
+	_, _ = fmt.Sscan(port, &number)
+	c.platform.Register(consulkv.CatalogRow{ServiceID: m.control, ServiceAddress: host, ServicePort: number,
+		ServiceMeta: map[string]string{consulkv.MetaZone: m.zone}})
+}
+
+func (c *cluster) deregister(m *member) { c.platform.Deregister(m.control) }
+
+func (c *cluster) zone() string {
+	c.count++
+	return fmt.Sprintf("z%d", c.count%3+1)
+}
+
+// addNode starts a back end and its node.
+func (c *cluster) addNode(service string) *member {
+	c.t.Helper()
+	m := &member{service: service, zone: c.zone(), listen: freePort(c.t), control: freePort(c.t), admin: freePort(c.t), outbound: freePort(c.t), back: freePort(c.t)}
+	m.backend = start(c.t, "backend "+service, "loomcleat-lab", "backend", "--listen", m.back, "--service", service, "--graph", c.graph, "--outbound", m.outbound)
+	m.arguments = append([]string{"node", "--service", service, "--backend", m.back, "--outbound", m.outbound}, c.common(m)...)
+	c.launch(m)
+	c.nodes = append(c.nodes, m)
+	return m
+}
+
+// addGateway starts a gateway.
+func (c *cluster) addGateway() *member {
+	c.t.Helper()
+	m := &member{zone: c.zone(), listen: freePort(c.t), control: freePort(c.t), admin: freePort(c.t)}
+	m.arguments = append([]string{"gateway"}, c.common(m)...)
+	c.launch(m)
+	c.gateways = append(c.gateways, m)
+	return m
+}
+
+// launch starts the process of a member, also a second time.
+func (c *cluster) launch(m *member) {
+	c.t.Helper()
+	m.program = start(c.t, m.arguments[0]+" "+m.service+" "+m.control, "loomcleat", m.arguments...)
+	c.register(m)
+}
+
+// remove takes a member out of the list of those that must be ready.
+func (c *cluster) remove(gone *member) {
+	keep := func(list []*member) []*member {
+		kept := []*member{}
+		for _, m := range list {
+			if m != gone {
+				kept = append(kept, m)
+			}
+		}
+		return kept
+	}
+	c.nodes, c.gateways = keep(c.nodes), keep(c.gateways)
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+var httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+
+// status asks a member for its status.
+func (m *member) status() (wire.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var status wire.Status
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.control+wire.PathStatus, nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// ready waits until all members take requests, know each other and the claim
+// groups vote.
+func (c *cluster) ready() {
+	c.t.Helper()
+	all := append(append([]*member{}, c.nodes...), c.gateways...)
+	eventually(c.t, "the cluster to be ready", func() bool {
+		for _, m := range all {
+			status, err := m.status()
+			if err != nil || !status.Ready || status.Revisions.Groups == 0 {
+				return false
+			}
+			alive := 0
+			for _, known := range status.Members {
+				if known.Status == 0 && !known.Leaving && !known.Down {
+					alive++
+				}
+			}
+			if alive < len(all) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// call is one request of a caller.
+type call struct {
+	gateway *member
+	service string
+	method  string
+	path    string
+	header  map[string]string
+	body    io.Reader
+	timeout time.Duration
+}
+
+// answered is an answer that was read whole.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (c call) do() (answered, error) {
+	timeout := c.timeout
+	if timeout == 0 {
+		timeout = patience
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.gateway.listen+c.path, c.body)
+	if err != nil {
+		return answered{}, err
+	}
+	request.Host = c.service
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	response, err := httpClient.Do(request)
+	if err != nil {
+		return answered{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answered{status: response.StatusCode, header: response.Header, body: string(body)}, err
+}
+
+// runs returns the record of what the back end of a node ran.
+func (m *member) runs(t *testing.T) []backend.Run {
+	t.Helper()
+	response, err := httpClient.Get("http://" + m.back + "/_stub/runs")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var runs []backend.Run
+	if err := json.NewDecoder(response.Body).Decode(&runs); err != nil {
+		t.Fatal(err)
+	}
+	return runs
+}
+
+// countRuns counts the runs of all back ends with the given tag.
+func (c *cluster) countRuns(tag string) int {
+	c.t.Helper()
+	count := 0
+	for _, m := range c.nodes {
+		for _, run := range m.runs(c.t) {
+			if run.Tag == tag {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// faults makes the back end of a node misbehave.
+func (m *member) faults(t *testing.T, faults backend.Faults) {
+	t.Helper()
+	data, err := json.Marshal(faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := httpClient.Post("http://"+m.back+"/_stub/faults", "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+}
+
+// command runs the loomcleat command line and returns its output and status.
+func command(t *testing.T, arguments ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, "loomcleat"), arguments...)
+	output, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(output), cmd.ProcessState.ExitCode()
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -128,6 +128,7 @@
 		b.serveControl(w, r)
 		return
 	}
+	_ = http.NewResponseController(w).EnableFullDuplex() // echo while the request is open
 	release, ok := b.takeSlot(r)
 	if !ok {
 		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
--- a/settings/check.go
+++ b/settings/check.go
@@ -12,10 +12,10 @@
 	"github.com/loomcleat/loomcleat/result"
 )
 
-// keys returns the names of all keys in the order of the struct.
-func keys() []string {
+// keysOf returns the keys of a settings struct in its order.
+func keysOf[T any]() []string {
 	names := []string{}
-	structure := reflect.TypeFor[Settings]()
+	structure := reflect.TypeFor[T]()
 	for i := range structure.NumField() {
 		name := structure.Field(i).Tag.Get("yaml")
 		if name != "-" {
--- a/settings/load.go
+++ b/settings/load.go
@@ -19,12 +19,23 @@
 	text := strings.Trim(strings.TrimSpace(string(data)), `"'`)
 	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return fmt.Errorf("%q is not a duration; allowed: a number with a unit, such as 250ms, 2s or 10m", text)
+		return &durationError{text: text}
 	}
 	*d = Duration(parsed)
 	return nil
 }
 
+// durationError is a duration without a unit that is known. The YAML library
+// does not say where it stands.
+type durationError struct {
+	text string
+}
+
+// Error implements error.
+func (e *durationError) Error() string {
+	return fmt.Sprintf("%q is not a duration; allowed: a number with a unit, such as 250ms, 2s or 10m", e.text)
+}
+
 // Load reads the settings file over the defaults of role. It checks the form
 // of the file only; call Check once flags have been applied.
 func Load(role Role, file string) (Settings, Lines, error) {
@@ -41,14 +52,14 @@
 		return loaded, lines, nil
 	}
 	if err := yaml.UnmarshalWithOptions(data, &loaded, yaml.Strict()); err != nil {
-		return loaded, lines, decodeError(file, err)
+		return loaded, lines, decodeError(file, data, err)
 	}
 	return loaded, lines, nil
 }
 
 // decodeError turns an error of the YAML library into one line that names file,
 // line and what is allowed.
-func decodeError(file string, err error) error {
+func decodeError(file string, data []byte, err error) error {
 	line := 0
 	message := err.Error()
 	var typed yaml.Error
@@ -58,12 +69,28 @@
 			line = token.Position.Line
 		}
 	}
+	var duration *durationError
+	if errors.As(err, &duration) {
+		line = lineOf(data, duration.text)
+	}
 	if strings.HasPrefix(message, "unknown field") {
-		message += "; allowed: " + strings.Join(keys(), ", ")
+		message += "; allowed: " + strings.Join(keysOf[Settings](), ", ") +
+			"; in routes: " + strings.Join(keysOf[Route](), ", ") +
+			"; in log: " + strings.Join(keysOf[Log](), ", ")
 	}
 	return result.New(result.SettingsInvalid, "%s:%d: %s", file, line, message)
 }
 
+// lineOf returns the number of the first line that contains text, 0 for none.
+func lineOf(data []byte, text string) int {
+	for i, line := range strings.Split(string(data), "\n") {
+		if strings.Contains(line, text) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // Lines knows the line of each key of a settings file, for error messages.
 type Lines struct {
 	file  string
