At most once: compare bodies, and bound attempts at a frozen node

Cause: a key that was used with another body got the answer of the first one: the fingerprint was set on the way out only, and waiting for a run in the same process did not compare it. A repeated payment that was sent to a frozen node waited for its whole deadline, since only calls that may be repeated had a bound for one attempt. Separately, ports for listeners were taken from the range of outgoing connections, so that a process sometimes could not bind. Ruled out: membership not converging; the process that was missing had ended. Change: the fingerprint is part of every call; an attempt of a claimed call ends after 2 s at least and the next one finds the claim; ports from below the system's range.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,7 +47,7 @@
 
 // patience bounds every wait of these tests. It is far above what is expected,
 // because nothing here asserts speed.
-const patience = 60 * time.Second
+const patience = 20 * time.Second
 
 // program is one started process.
 type program struct {
@@ -129,15 +130,30 @@
 	}
 }
 
+// Ports for listeners are taken from below the range from which the system
+// takes ports for outgoing connections: a port from that range that is free now
+// may be in use when the process binds it.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
 // freePort returns a loopback address that is free now.
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + (int64(os.Getpid())*64+nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // member is a node or gateway process with its addresses.
@@ -311,6 +327,19 @@
 func (c *cluster) ready() {
 	c.t.Helper()
 	all := append(append([]*member{}, c.nodes...), c.gateways...)
+	c.t.Cleanup(func() {
+		if !c.t.Failed() {
+			return
+		}
+		for _, m := range all {
+			status, err := m.status()
+			seen := []string{}
+			for _, known := range status.Members {
+				seen = append(seen, fmt.Sprintf("%s %s leaving=%t down=%t", known.Control, known.Status, known.Leaving, known.Down))
+			}
+			c.t.Logf("%s: error=%v ready=%t revisions=%+v members=%q", m.control, err, status.Ready, status.Revisions, seen)
+		}
+	})
 	eventually(c.t, "the cluster to be ready", func() bool {
 		for _, m := range all {
 			status, err := m.status()
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
@@ -45,7 +47,8 @@
 	// ClaimKey is the key under which the call may run at most once. Zero for
 	// calls that may be repeated.
 	ClaimKey claims.Key
-	// Fingerprint tells requests with the same key apart.
+	// Fingerprint tells requests with the same key apart: a hash of the body,
+	// 0 when it is streamed.
 	Fingerprint uint64
 	// Hops is the number of calls above this one in the call graph.
 	Hops int
@@ -108,6 +111,14 @@
 // Buffered returns the bytes of a body that is in memory.
 func (b *Body) Buffered() ([]byte, bool) { return b.data, b.buffered }
 
+// fingerprint tells bodies in memory apart. It is 0 for streamed bodies.
+func (b *Body) fingerprint() uint64 {
+	if !b.buffered {
+		return 0
+	}
+	return xxhash.Sum64(b.data)
+}
+
 // Open returns a reader of the whole body and its length, -1 when unknown.
 func (b *Body) Open() (io.ReadCloser, int64) {
 	b.opened = true
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -117,13 +117,14 @@
 	header := r.Header.Clone()
 	wire.RemoveHopByHop(header)
 	return &Call{
-		Service: service,
-		Method:  r.Method,
-		URL:     r.URL,
-		Host:    r.Host,
-		Header:  header,
-		Body:    body,
-		Policy:  p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath()),
+		Service:     service,
+		Method:      r.Method,
+		URL:         r.URL,
+		Host:        r.Host,
+		Header:      header,
+		Body:        body,
+		Fingerprint: body.fingerprint(),
+		Policy:      p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath()),
 	}, nil
 }
 
--- a/plugin/identity/setup.go
+++ b/plugin/identity/setup.go
@@ -55,8 +55,7 @@
 // Without one, a call of a back end is named after the execution that makes
 // it: the same call of a repeated execution gets the same key.
 func identify(call *kernel.Call) {
-	body, buffered := call.Body.Buffered()
-	call.Fingerprint = xxhash.Sum64(body)
+	_, buffered := call.Body.Buffered()
 	target := call.URL.RequestURI()
 	if key := call.Header.Get(wire.HeaderIdempotencyKey); key != "" {
 		call.ClaimKey = claims.NewKey(kindGiven, call.Service, call.Method, target, key, call.Header.Get("Authorization"))
--- a/plugin/once/once.go
+++ b/plugin/once/once.go
@@ -68,6 +68,9 @@
 // joinLocal waits for a run of the same key in this process. It reports again
 // when that run ended without having run.
 func (o *once) joinLocal(call *kernel.Call, current *run) (again bool, answer *kernel.Answer, err error) {
+	if current.fingerprint != call.Fingerprint {
+		return false, nil, keyReused()
+	}
 	call.ReleasePlace()
 	select {
 	case <-current.done:
@@ -167,6 +170,10 @@
 	return result.New(result.ClaimUnavailable, "no majority of the claim replicas could be had").WithRetryAfter(refusalRetryAfter)
 }
 
+func keyReused() error {
+	return result.New(result.KeyReused, "the Idempotency-Key was used for a request with another body")
+}
+
 func uncertain(message string) error {
 	return result.New(result.AlreadyClaimed, "%s; it was not run again", message)
 }
@@ -194,7 +201,7 @@
 	call.ReleasePlace()
 	holder, answer := round.Holder()
 	if holder.Fingerprint != call.Fingerprint {
-		return nil, result.New(result.KeyReused, "the Idempotency-Key was used for a request with another body")
+		return nil, keyReused()
 	}
 	if answer != nil {
 		return &claimed{answer: answer}, nil
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -181,19 +181,25 @@
 	return answer, nil
 }
 
-// Bounds of the time for one attempt of a call that may be repeated.
+// Bounds of the time for one attempt of a call that can be sent again.
 const (
 	attemptLatencies   = 8                      // times the usual latency
 	minimumAttemptTime = 500 * time.Millisecond // at least
+	claimedAttemptTime = 2 * time.Second        // at least, for a call that may not be repeated
 )
 
 // attemptContext bounds one attempt of a call that can be sent again, so that a
-// node that hangs leaves time for another.
+// node that hangs leaves time for another. A call that may not be repeated goes
+// on at its node; the next attempt finds its claim and waits for its answer.
 func (r *router) attemptContext(call *kernel.Call, balancer *balance.Balancer, target balance.Target) (context.Context, context.CancelFunc) {
-	if !call.Policy.Repeatable || !call.Body.Replayable() || call.Budget.Left() == 0 || balancer.Size() < 2 {
+	if !call.Body.Replayable() || call.Budget.Left() == 0 || balancer.Size() < 2 {
 		return context.WithCancel(call.Context)
 	}
-	limit := max(attemptLatencies*balancer.Latency(target.ID), minimumAttemptTime)
+	least := minimumAttemptTime
+	if !call.Policy.Repeatable {
+		least = claimedAttemptTime
+	}
+	limit := max(attemptLatencies*balancer.Latency(target.ID), least)
 	return context.WithTimeout(call.Context, limit)
 }
 
