--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -262,3 +262,9 @@
 	_ = m.server.Close()
 	m.Store.Close()
 }
+
+// Edit makes one edit of the policy tree.
+func (m *Mesh) Edit(ctx context.Context, changes ...policy.Change) error {
+	_, err := editor.New(m.Store, "lab").Apply(ctx, changes)
+	return err
+}
