--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -109,6 +109,31 @@
 	is.True(!ok) // never voted at epoch 1
 }
 
+// TestAnAbandonedRunDoesNotHideAnother: a replica that holds an abandoned run is
+// told of another one that may have won the key.
+func TestAnAbandonedRunDoesNotHideAnother(t *testing.T) {
+	is := is.New(t)
+	replica := newReplica("a")
+	replica.Adopt(epoch, document(1, Group{Epoch: 1, Replicas: processes("a", "b", "c")}))
+	is.Equal(replica.Ask(epoch, 0, 1, claimOf("k", "abandoned")).Verdict, Granted)
+	replica.Adopt(epoch, document(2, Group{Epoch: 2, Replicas: processes("a", "b", "d"), Previous: processes("a", "b", "c")}))
+	replica.TakeOver(epoch, Fetch{From: process("b"), Epoch: 2}, []Transferred{{Claim: claimOf("k", "winner"), Left: retention}})
+	again := claimOf("k", "again")
+	again.Abandoned = []string{"abandoned"}
+	is.Equal(replica.Ask(epoch, 0, 2, again).Verdict, Held)
+}
+
+func TestAnAbandonedRunIsReplaced(t *testing.T) {
+	is := is.New(t)
+	replica := newReplica("a")
+	replica.Adopt(epoch, document(1, Group{Epoch: 1, Replicas: processes("a")}))
+	is.Equal(replica.Ask(epoch, 0, 1, claimOf("k", "abandoned")).Verdict, Granted)
+	again := claimOf("k", "again")
+	again.Abandoned = []string{"abandoned"}
+	is.Equal(replica.Ask(epoch, 0, 1, again).Verdict, Granted)
+	is.Equal(replica.Ask(epoch, 0, 1, claimOf("k", "other")).Verdict, Held)
+}
+
 func TestOlderDocumentsAreIgnored(t *testing.T) {
 	is := is.New(t)
 	replica := newReplica("a")
--- a/claims/replica.go
+++ b/claims/replica.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,23 @@
 	Fingerprint uint64  `json:"fingerprint"` // of the request, to notice a key used twice
 	Run         string  `json:"run"`         // unique for each attempt to run
 	Runner      Process `json:"runner"`
+	// Abandoned lists earlier runs of the key that, as their runners say, have
+	// not run and never will. The claim takes their place where they are held.
+	Abandoned []string `json:"abandoned,omitempty"`
+}
+
+// replaces reports whether the claim may take the place of what is held: every
+// run that may have won the key must have been abandoned.
+func (c *Claim) replaces(known *held) bool {
+	if !slices.Contains(c.Abandoned, known.claim.Run) {
+		return false
+	}
+	for _, run := range known.others {
+		if !slices.Contains(c.Abandoned, run) {
+			return false
+		}
+	}
+	return true
 }
 
 // Answer is the stored answer of a request that ran.
@@ -54,6 +72,7 @@
 // held is a claim as a replica keeps it.
 type held struct {
 	claim   Claim
+	others  []string // runs that hold the key at other replicas, one of which may have won it
 	expires time.Time
 	answer  *Answer
 }
@@ -190,7 +209,10 @@
 		return Reply{Verdict: Syncing}
 	}
 	if known, exists := state.claims[claim.Key]; exists {
-		return known.reply(claim)
+		if !claim.replaces(known) {
+			return known.reply(claim)
+		}
+		r.remove(state, claim.Key, known)
 	}
 	if r.count >= r.config.MaximumClaims {
 		return Reply{Verdict: Full}
@@ -202,7 +224,7 @@
 // reply answers a claim for a key that is held. Asking twice for the same run
 // is granted twice.
 func (h *held) reply(claim Claim) Reply {
-	if h.claim.Run == claim.Run {
+	if h.claim.Run == claim.Run && len(h.others) == 0 {
 		return Reply{Verdict: Granted}
 	}
 	holder := h.claim
@@ -210,6 +232,7 @@
 }
 
 func (r *Replica) insert(state *groupState, claim Claim, expires time.Time, answer *Answer) {
+	claim.Abandoned = nil
 	if shared, exists := r.runners[claim.Runner.ID]; exists {
 		claim.Runner = shared
 	} else {
@@ -241,7 +264,8 @@
 		return
 	}
 	state := &r.groups[group]
-	if known, exists := state.claims[key]; exists && known.claim.Run == run {
+	known, exists := state.claims[key]
+	if exists && known.claim.Run == run && len(known.others) == 0 {
 		r.remove(state, key, known)
 	}
 }
--- a/claims/transfer.go
+++ b/claims/transfer.go
@@ -1,10 +1,14 @@
 package claims
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Transferred is one claim that is handed to another replica.
 type Transferred struct {
 	Claim  Claim         `json:"claim"`
+	Others []string      `json:"others,omitempty"` // runs that may hold the key too
 	Left   time.Duration `json:"left_ns"` // of the retention time
 	Answer *Answer       `json:"answer,omitempty"`
 }
@@ -48,7 +52,7 @@
 	for _, known := range state.claims {
 		left := known.expires.Sub(now)
 		if left > 0 {
-			handed = append(handed, Transferred{Claim: known.claim, Left: left, Answer: known.answer})
+			handed = append(handed, Transferred{Claim: known.claim, Others: known.others, Left: left, Answer: known.answer})
 		}
 	}
 	return handed, true
@@ -72,21 +76,33 @@
 	return state.votes == state.group.Epoch
 }
 
-// takeOverOne stores one claim. A key that is held here under another run was
-// granted to no majority, or the other one was not; both block the key, and
-// the one that is here stays.
+// takeOverOne stores one claim. When the key is held here under another run, one
+// of the two may have won it, and it is not known which: both block the key.
 func (r *Replica) takeOverOne(now time.Time, state *groupState, transferred Transferred) {
 	expires := now.Add(transferred.Left)
 	known, exists := state.claims[transferred.Claim.Key]
 	if !exists {
 		r.insert(state, transferred.Claim, expires, transferred.Answer)
+		state.claims[transferred.Claim.Key].others = transferred.Others
 		return
 	}
+	known.addOthers(transferred)
 	if expires.After(known.expires) {
 		known.expires = expires
 		r.expiry.push(expiryItem{at: expires, key: transferred.Claim.Key})
 	}
-	r.setAnswer(known, transferred.Answer)
+	if known.claim.Run == transferred.Claim.Run {
+		r.setAnswer(known, transferred.Answer)
+	}
+}
+
+// addOthers remembers the runs of another replica that are not the own one.
+func (h *held) addOthers(transferred Transferred) {
+	for _, run := range append([]string{transferred.Claim.Run}, transferred.Others...) {
+		if run != h.claim.Run && !slices.Contains(h.others, run) {
+			h.others = append(h.others, run)
+		}
+	}
 }
 
 // Forget drops the claims of groups that this process left longer ago than the
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -91,6 +91,16 @@
 	group.Wait()
 }
 
+// Go runs a function in a goroutine of its own. A stopping process waits for it
+// as for a request in flight.
+func (p *Process) Go(run func()) {
+	p.inFlight.Add(1)
+	go func() {
+		defer p.inFlight.Add(-1)
+		run()
+	}()
+}
+
 // waitIdle waits until no request is in flight and reports whether that came
 // within the drain timeout.
 func (p *Process) waitIdle(ctx context.Context) bool {
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -12,7 +12,7 @@
 // Tick does what is due at the given time and returns the messages to send. It
 // should be called a few times in each GossipInterval.
 func (m *Machine) Tick(now time.Time) []Send {
-	if now.Sub(m.lastTick) > pauseFactor*m.config.ProbeInterval {
+	if !m.config.NoPauseCheck && now.Sub(m.lastTick) > pauseFactor*m.config.ProbeInterval {
 		m.resume(now)
 	}
 	m.lastTick = now
@@ -178,7 +178,7 @@
 	reply := m.message(message.Kind)
 	// A sender that is suspected or believed dead here is told so, and can
 	// contradict at once.
-	if known, exists := m.members[message.From.ID]; exists && known.Status != Alive {
+	if known, exists := m.members[message.From.ID]; exists && known.Status != Alive && !m.config.NoSuspectNotice {
 		reply.Updates = append(reply.Updates, known.Member)
 	}
 	return reply
--- a/membership/types.go
+++ b/membership/types.go
@@ -112,6 +112,14 @@
 	// ForgetAfter is how long dead members are remembered and probed. Default 1h.
 	ForgetAfter time.Duration
 
+	// NoSuspectNotice switches off that a suspected member is told so directly
+	// when it sends a message. It exists to be compared against.
+	NoSuspectNotice bool
+
+	// NoPauseCheck switches off that a process that was paused distrusts what
+	// it concluded during the pause. It exists to be compared against.
+	NoPauseCheck bool
+
 	// Random is the source of random choices. Required.
 	Random *rand.Rand
 
--- a/plugin/once/once.go
+++ b/plugin/once/once.go
@@ -123,7 +123,7 @@
 		cancel()
 		current.end(wire.RunFinished, stored)
 		if stored != nil {
-			go o.publish(group, current, stored)
+			o.process.Go(func() { o.publish(group, current, stored) })
 		}
 	})
 	return answer, nil
@@ -134,7 +134,7 @@
 	id := current.ID()
 	current.end(wire.RunNeverRan, nil)
 	o.runs.forget(current)
-	go o.withdraw(group, current.key, id)
+	o.process.Go(func() { o.withdraw(group, current.key, id) })
 }
 
 // claimed is the outcome of a claim.
@@ -147,12 +147,13 @@
 
 // claim asks for the key until it is decided.
 func (o *once) claim(call *kernel.Call, current *run) (claimed, error) {
+	abandoned := []string{}
 	giveUp := time.Now().Add(claimPatience)
 	if call.Deadline.Before(giveUp) {
 		giveUp = call.Deadline
 	}
 	for {
-		outcome, err := o.claimOnce(call, current, giveUp)
+		outcome, err := o.claimOnce(call, current, &abandoned)
 		if err != nil || outcome != nil {
 			if err != nil {
 				return claimed{}, err
@@ -179,8 +180,8 @@
 }
 
 // claimOnce makes one round. It returns nil without an error when another round
-// may decide.
-func (o *once) claimOnce(call *kernel.Call, current *run, giveUp time.Time) (*claimed, error) {
+// may decide, and adds the runs that are known never to run to abandoned.
+func (o *once) claimOnce(call *kernel.Call, current *run, abandoned *[]string) (*claimed, error) {
 	document := o.groups.Load()
 	if document == nil || len(document.Groups) == 0 {
 		return nil, nil
@@ -188,13 +189,14 @@
 	index := call.ClaimKey.GroupIndex(len(document.Groups))
 	id := uuid.NewString()
 	current.setID(id)
-	claim := claims.Claim{Key: call.ClaimKey, Fingerprint: call.Fingerprint, Run: id, Runner: o.self}
+	claim := claims.Claim{Key: call.ClaimKey, Fingerprint: call.Fingerprint, Run: id, Runner: o.self, Abandoned: *abandoned}
 	asked := time.Now()
 	round := o.askReplicas(call.Context, index, document.Groups[index], claim)
 	if round.Decision() == claims.Won {
 		return &claimed{granted: true, group: index, asked: asked}, nil
 	}
-	go o.withdraw(index, call.ClaimKey, id)
+	*abandoned = append(*abandoned, id)
+	o.process.Go(func() { o.withdraw(index, call.ClaimKey, id) })
 	if round.Decision() != claims.Lost {
 		return nil, nil
 	}
@@ -206,13 +208,17 @@
 	if answer != nil {
 		return &claimed{answer: answer}, nil
 	}
-	return o.askRunner(call, *holder, giveUp)
+	outcome, err := o.askRunner(call, *holder)
+	if outcome == nil && err == nil {
+		*abandoned = append(*abandoned, holder.Run)
+	}
+	return outcome, err
 }
 
 // askRunner learns from the runner that holds the key what became of its run.
 // It returns nil without an error when that run never ran, so that the key will
 // become free.
-func (o *once) askRunner(call *kernel.Call, holder claims.Claim, giveUp time.Time) (*claimed, error) {
+func (o *once) askRunner(call *kernel.Call, holder claims.Claim) (*claimed, error) {
 	if holder.Runner.ID == o.self.ID {
 		return nil, nil // an earlier round of this process that is being withdrawn
 	}
