Hollow processes and the cost of control; fewer timers

Cause: a hollow process at rest used 0.77% of a core, of which almost all was timers: the profile shows the control loop and the scheduler, not messages. Change: 'loomcleat-lab capacity'; the queue is told of waited-out requests by the requests themselves instead of by a 5 ms timer; readiness is not checked once it holds; claims are collected only after a change of epoch.

--- a/claims/transfer.go
+++ b/claims/transfer.go
@@ -9,7 +9,7 @@
 type Transferred struct {
 	Claim  Claim         `json:"claim"`
 	Others []string      `json:"others,omitempty"` // runs that may hold the key too
-	Left   time.Duration `json:"left_ns"` // of the retention time
+	Left   time.Duration `json:"left_ns"`          // of the retention time
 	Answer *Answer       `json:"answer,omitempty"`
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,7 +27,16 @@
 
 // Open makes a Process with the adapters that its settings name.
 func Open(s settings.Settings, log *event.Logger) (*kernel.Process, error) {
-	options := kernel.Options{Settings: s, Log: log}
+	return open(kernel.Options{Settings: s, Log: log})
+}
+
+// OpenHollow makes a Process without traffic, to measure the cost of control.
+func OpenHollow(s settings.Settings, log *event.Logger) (*kernel.Process, error) {
+	return open(kernel.Options{Settings: s, Log: log, Hollow: true})
+}
+
+func open(options kernel.Options) (*kernel.Process, error) {
+	s := options.Settings
 	if s.Store != "" {
 		options.Store = consulkv.NewClient(consulkv.Config{BaseURL: s.Store})
 	}
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -23,9 +24,14 @@
 
 // commandLine is the grammar of the command line.
 type commandLine struct {
+	Profile string `help:"Write a processor profile to this file." type:"path"`
+
 	Store   storeCommand   `cmd:"" help:"Run the stand-in for the key-value service and the machine list."`
 	Backend backendCommand `cmd:"" help:"Run a stand-in for a back end."`
 	Load    loadCommand    `cmd:"" help:"Send a bounded load to a gateway and print a summary."`
+
+	Capacity capacityCommand `cmd:"" help:"Measure what control costs with hollow processes of several numbers."`
+	Gossip   gossipCommand   `cmd:"" help:"Measure failure detection in virtual time."`
 }
 
 // Run runs the command line and returns the exit status.
@@ -47,13 +53,36 @@
 		fmt.Fprintln(os.Stderr, "loomcleat-lab:", err)
 		return 2
 	}
-	if err := parsed.Run(); err != nil {
+	stop, err := startProfile(grammar.Profile)
+	if err == nil {
+		err = parsed.Run()
+		stop()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "loomcleat-lab:", err)
 		return 1
 	}
 	return 0
 }
 
+// startProfile writes a processor profile until the returned function is called.
+func startProfile(path string) (stop func(), err error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
+
 // untilStopped returns a context that ends with SIGTERM or SIGINT.
 func untilStopped() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -16,11 +16,11 @@
 func (p *Process) Start(context.Context) error {
 	p.Log.Emit(event.ProcessStarting, "id", p.ID, "role", string(p.Settings.Role), "zone", p.Settings.Zone,
 		"listen", p.TrafficAddress(), "control", p.ControlAddress(), "admin", p.AdminAddress(), "outbound", p.OutboundAddress())
-	p.Loop.Every(readinessInterval, p.checkReady)
 	p.HandleControl("GET "+wire.PathStatus, p.serveStatus)
 	failed := make(chan error, serverCount)
 	p.servers.start(p, failed)
 	go p.Loop.run(p.context)
+	go p.waitReady()
 	for _, run := range p.onStart {
 		go run(p.context)
 	}
@@ -32,13 +32,14 @@
 	}
 }
 
-// checkReady marks the process ready once all conditions hold.
-func (p *Process) checkReady(time.Time) {
-	if p.ready.Load() {
-		return
-	}
-	for _, condition := range p.readiness {
-		if !condition() {
+// waitReady marks the process ready once all conditions hold.
+func (p *Process) waitReady() {
+	ticker := time.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for !p.conditionsHold() {
+		select {
+		case <-ticker.C:
+		case <-p.context.Done():
 			return
 		}
 	}
@@ -46,6 +47,15 @@
 	p.Log.Emit(event.ProcessReady, "id", p.ID)
 }
 
+func (p *Process) conditionsHold() bool {
+	for _, condition := range p.readiness {
+		if !condition() {
+			return false
+		}
+	}
+	return true
+}
+
 // Stop ends the process in order: it announces that it leaves and still takes
 // requests for the announce time, then refuses new ones and waits for those in
 // flight, then ends. It implements transport.Server of kratos.
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,10 +20,6 @@
 
 const name = "admission"
 
-// expireInterval is the time between two looks at the queue for requests whose
-// time has passed.
-const expireInterval = 5 * time.Millisecond
-
 func init() { kernel.Register(name, kernel.StageTraffic, setup) }
 
 func setup(process *kernel.Process) error {
@@ -34,8 +31,7 @@
 		controller: admission.NewController(time.Now(), admission.Config{}),
 	}
 	process.UseInbound(name, p.middleware)
-	process.SetLevel(func(now time.Time) int { return p.controller.State(now).Level })
-	process.Loop.Every(expireInterval, p.expire)
+	process.SetLevel(p.currentLevel)
 	process.OnStatus(p.fillStatus)
 	p.registerMetrics(process.Metrics)
 	return nil
@@ -47,7 +43,7 @@
 	controller *admission.Controller
 	bounds     bounds
 	mutex      sync.Mutex
-	overloaded bool // owned by the control loop
+	overloaded atomic.Bool
 }
 
 // bounds are the settings that the controller was last given.
@@ -56,13 +52,14 @@
 	queueTime        time.Duration
 }
 
-func (p *plugin) expire(now time.Time) {
-	p.controller.Expire(now)
+// currentLevel returns the level and logs when overload begins or ends.
+func (p *plugin) currentLevel(now time.Time) int {
 	level := p.controller.State(now).Level
-	if (level > 0) != p.overloaded {
-		p.overloaded = level > 0
-		p.process.Log.Emit(event.AdmissionLevelSet, "overloaded", p.overloaded, "level", level)
+	overloaded := level > 0
+	if p.overloaded.Load() != overloaded && p.overloaded.CompareAndSwap(!overloaded, overloaded) {
+		p.process.Log.Emit(event.AdmissionLevelSet, "overloaded", overloaded, "level", level)
 	}
+	return level
 }
 
 func (p *plugin) fillStatus(status *wire.Status) {
@@ -112,14 +109,26 @@
 		return refusal(verdict)
 	default:
 	}
-	select {
-	case verdict := <-verdicts:
-		return refusal(verdict)
-	case <-call.Context.Done():
-		return p.withdraw(call, ticket, verdicts)
+	// The controller has no clock: it is told when a request has waited enough.
+	waited := time.NewTimer(call.Policy.QueueTime)
+	defer waited.Stop()
+	for {
+		select {
+		case verdict := <-verdicts:
+			return refusal(verdict)
+		case <-waited.C:
+			p.controller.Expire(time.Now())
+			waited.Reset(expireAgain)
+		case <-call.Context.Done():
+			return p.withdraw(call, ticket, verdicts)
+		}
 	}
 }
 
+// expireAgain is when the controller is told again, in case the settings gave
+// the request more time than its own policy says.
+const expireAgain = 10 * time.Millisecond
+
 // withdraw gives up waiting. The place may have come at the same moment.
 func (p *plugin) withdraw(call *kernel.Call, ticket *admission.Ticket, verdicts <-chan admission.Verdict) error {
 	if !p.controller.Withdraw(ticket) && <-verdicts == admission.Admitted {
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -21,7 +21,7 @@
 func init() { kernel.Register(name, kernel.StageServices, setup) }
 
 // ticksPerGossip is how often the machine is looked at in each gossip interval.
-const ticksPerGossip = 4
+const ticksPerGossip = 2
 
 func setup(process *kernel.Process) error {
 	interval := process.Settings.ProbeInterval.Std()
--- a/plugin/once/groups.go
+++ b/plugin/once/groups.go
@@ -27,20 +27,21 @@
 // collectClaims collects the claims of groups in which this process is a new
 // replica, until it votes there.
 func (o *once) collectClaims(ctx context.Context) {
-	ticker := time.NewTicker(collectInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-o.wake:
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
 		var fetches []claims.Fetch
 		if o.process.Loop.Do(ctx, func(time.Time) { fetches = o.replica.Fetches() }) != nil {
 			return
 		}
 		o.fetchAll(ctx, fetches)
+		if len(fetches) > 0 {
+			pause(ctx, collectInterval)
+			continue
+		}
+		select {
+		case <-o.wake: // a new epoch
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/plugin/once/planner.go
+++ b/plugin/once/planner.go
@@ -16,7 +16,8 @@
 // Planning of the claim groups. One process plans; when two believe that it is
 // their turn, compare-and-swap in the store lets one of them succeed.
 const (
-	planInterval   = 250 * time.Millisecond
+	planInterval   = 250 * time.Millisecond // while this process is the planner
+	idlePlanWait   = time.Second            // otherwise
 	planFailedWait = 2 * time.Second
 	settleTime     = time.Second // after the start, before groups are first formed
 	planLeaseName  = "loomcleat/claim-planner"
@@ -28,9 +29,10 @@
 	pause(ctx, settleTime)
 	lost := 0
 	for ctx.Err() == nil {
-		wait := planInterval
+		wait := idlePlanWait
 		members := *o.process.Members.Load()
 		if !o.process.Leaving() && spread.Watches(o.self.ID, kernel.LiveIDs(members), 1) {
+			wait = planInterval
 			found, err := o.planOnce(ctx, members)
 			if err != nil && ctx.Err() == nil {
 				o.process.Log.Emit(event.ClaimGroupPlanFailed, "error", err)
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -7,11 +7,7 @@
 // that is in force never goes back.
 package spread
 
-import (
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Keeper holds the highest revision of one document. It is not safe for
 // concurrent use.
@@ -41,17 +37,14 @@
 // disagree on who is alive may choose different ones, which costs the store a
 // few more requests and nothing else.
 func Watches(self string, alive []string, count int) bool {
-	if len(alive) <= count {
-		return true
-	}
-	ranked := append([]string{}, alive...)
-	sort.Slice(ranked, func(i, j int) bool {
-		return xxhash.Sum64String(ranked[i]) > xxhash.Sum64String(ranked[j])
-	})
-	for _, id := range ranked[:count] {
-		if id == self {
-			return true
+	own := xxhash.Sum64String(self)
+	above := 0
+	member := false
+	for _, id := range alive {
+		member = member || id == self
+		if xxhash.Sum64String(id) > own {
+			above++
 		}
 	}
-	return false
+	return above < count && (member || len(alive) <= count)
 }
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,58 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestKeeperTakesOnlyHigherRevisions(t *testing.T) {
+	cases := []struct {
+		offered []uint64
+		kept    uint64
+	}{
+		{[]uint64{1}, 1},
+		{[]uint64{1, 2}, 2},
+		{[]uint64{2, 1}, 2},
+		{[]uint64{3, 3}, 3},
+		{[]uint64{5, 1, 7, 6}, 7},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.offered), func(t *testing.T) {
+			is := is.New(t)
+			var keeper Keeper
+			for _, revision := range c.offered {
+				before := keeper.Revision()
+				is.Equal(keeper.Offer(revision, fmt.Append(nil, revision)), revision > before)
+			}
+			is.Equal(keeper.Revision(), c.kept)
+			is.Equal(string(keeper.Data()), fmt.Sprint(c.kept))
+		})
+	}
+}
+
+func TestWatches(t *testing.T) {
+	is := is.New(t)
+	ids := []string{}
+	for i := range 40 {
+		ids = append(ids, fmt.Sprint("process ", i))
+	}
+	watching := 0
+	for _, id := range ids {
+		if Watches(id, ids, 3) {
+			watching++
+		}
+	}
+	is.Equal(watching, 3)
+	is.True(Watches("alone", nil, 3))
+	is.True(Watches("alone", []string{"alone"}, 1))
+	is.True(!Watches("leaving", ids, 3)) // not among the live ones
+}
+
+func ExampleKeeper() {
+	var keeper Keeper
+	keeper.Offer(2, []byte("new"))
+	fmt.Println(keeper.Offer(1, []byte("old")), string(keeper.Data()))
+	// Output: false new
+}
