--- a/admission/controller.go
+++ b/admission/controller.go
@@ -25,8 +25,9 @@
 	MinimumLimit int
 	MaximumLimit int
 
-	// QueueTime is the longest time in the queue. Longer rides out bursts,
-	// shorter refuses sooner. Default 50ms.
+	// QueueTime is the longest time in the queue, unless the back end usually
+	// takes longer: then that time counts. Longer rides out bursts, shorter
+	// refuses sooner. 0 switches the queue off.
 	QueueTime time.Duration
 
 	// LevelWindow is the time between two adjustments of the level. Default 50ms.
@@ -169,7 +170,7 @@
 	}
 	c.sequence++
 	ticket.sequence = c.sequence
-	ticket.expires = now.Add(c.config.QueueTime)
+	ticket.expires = now.Add(c.patience())
 	c.queue.unordered = c.config.Unordered
 	heap.Push(&c.queue, ticket)
 	c.dropExpired(now)
@@ -178,6 +179,13 @@
 	}
 }
 
+// patience is how long a request may wait: the configured time, or the usual
+// time of the back end when that is longer, since places become free at its
+// pace.
+func (c *Controller) patience() time.Duration {
+	return max(c.config.QueueTime, time.Duration(c.own*float64(time.Second)))
+}
+
 // queueLimit bounds the queue by the number in flight: more cannot be served
 // within a few service times.
 func (c *Controller) queueLimit() int { return 2*c.limitNow() + 1 }
--- a/admission/level.go
+++ b/admission/level.go
@@ -22,7 +22,9 @@
 const (
 	bucketWidth   = 8
 	buckets       = (MaximumPriority + 1) / bucketWidth
-	arrivalWeight = 0.5  // of the last window in the smoothed arrivals
+	arrivalWeight = 0.4  // of the last window in the smoothed arrivals
+	windowStarts  = 8    // fewer starts make a window with refusals longer
+	longestWait   = 7    // windows by which it may become longer
 	headroom      = 1.02 // arrivals admitted for each one started
 	fallStep      = 16   // priorities by which the level falls in a quiet window
 	idleFallStep  = 96   // the same while a large part of the limit is free
@@ -49,7 +51,11 @@
 	if now.Before(l.end) {
 		return
 	}
-	windows := 1 + int(now.Sub(l.end)/l.window)
+	late := now.Sub(l.end)
+	if l.starts < windowStarts && l.refused > 0 && late < longestWait*l.window {
+		return // too few to tell
+	}
+	windows := 1 + int(late/l.window)
 	l.end = now.Add(l.window)
 	for i := range l.arrivals {
 		l.arrivals[i] += arrivalWeight * (float64(l.recent[i]) - l.arrivals[i])
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -9,13 +9,11 @@
 //
 // It compares the back end's own time in each window with the time at low load.
 // While both are alike and the limit was reached, it grows. When the time has
-// grown by more than the tolerance, requests queue inside the back end, and it
-// shrinks to the number that would bring the time back (Little's law).
-//
-// A back end that became slower for another reason than load looks the same at
-// first. Therefore the limit is halved for one window now and then: if the time
-// does not follow, load was not the reason, and the slower time becomes the
-// new time at low load.
+// grown by more than the tolerance, requests queue inside the back end, or the
+// back end became slower for another reason than load. A trial tells: the limit
+// is halved for two windows. If the time follows, requests were queueing, and
+// the limit shrinks to the number that brings the time back (Little's law). If
+// it does not, the slower time becomes the new time at low load.
 //
 // Limit is not safe for concurrent use.
 type Limit struct {
@@ -40,12 +38,16 @@
 
 const (
 	windowTime         = 100 * time.Millisecond
-	windowSamples      = 10   // fewer samples make the window longer
+	windowSamples      = 16   // fewer samples make the window longer
 	tolerance          = 1.5  // growth of the time that counts as queueing
+	comfortable        = 1.2  // growth of the time up to which the limit may grow
 	initialLimit       = 20.0 // until something is known
-	trialAfter         = 3    // congested windows before a trial
-	trialFollows       = 0.75 // the time follows when it falls below this share
-	baselineDrift      = 0.02 // share by which the baseline follows per window
+	reachedShare       = 0.8  // of the limit that must be used for it to grow
+	trialAfter         = 2    // congested windows before a trial
+	trialShare         = 0.7  // of the limit during a trial
+	trialFollows       = 0.85 // the time follows when it falls below this share
+	baselineFall       = 0.1  // share by which the baseline follows a lower time
+	baselineRise       = 0.05 // share by which it follows a higher one
 	longestEmptyWindow = 5 * time.Second
 )
 
@@ -87,7 +89,7 @@
 // closeWindow adapts the limit to the window that ends now.
 func (l *Limit) closeWindow(now time.Time) {
 	mean := l.sum / float64(l.count)
-	reached := float64(l.peak) >= l.current*0.8
+	reached := float64(l.peak) >= l.current*reachedShare
 	l.sum, l.count, l.peak = 0, 0, 0
 	length := time.Duration(2 * mean * float64(time.Second))
 	l.windowEnd = now.Add(min(max(windowTime, length), longestEmptyWindow))
@@ -95,35 +97,46 @@
 		l.closeTrial(mean)
 		return
 	}
-	if l.baseline == 0 || mean < l.baseline {
-		l.baseline = mean
-	}
-	switch {
-	case mean > tolerance*l.baseline:
+	l.learnBaseline(mean)
+	if mean > tolerance*l.baseline {
 		l.congest(mean)
-	case reached:
-		l.congested = 0
+		return
+	}
+	l.congested = 0
+	if reached && mean < comfortable*l.baseline {
 		l.current = min(l.maximum, l.current+math.Sqrt(l.current))
-	default:
-		l.congested = 0
-		l.baseline += baselineDrift * (mean - l.baseline)
 	}
 }
 
-// congest shrinks the limit, or begins a trial when shrinking did not help.
+// learnBaseline follows a time that falls, part of the way in each window: the
+// mean of a few requests may be low by chance. A time that rises is followed
+// only very slowly, since it may be queueing.
+func (l *Limit) learnBaseline(mean float64) {
+	switch {
+	case l.baseline == 0:
+		l.baseline = mean
+	case mean < l.baseline:
+		l.baseline += baselineFall * (mean - l.baseline)
+	case mean <= tolerance*l.baseline:
+		l.baseline += baselineRise * (mean - l.baseline)
+	}
+}
+
+// congest begins a trial once the time has been high for some windows.
 func (l *Limit) congest(mean float64) {
 	l.congested++
-	if l.congested >= trialAfter {
-		l.congested = 0
-		l.trial = trial{active: true, before: mean, limit: l.current, skip: true}
-		l.current = max(l.minimum, l.current/2)
+	if l.congested < trialAfter {
 		return
 	}
-	wanted := l.current * tolerance * l.baseline / mean
-	l.current = max(l.minimum, l.current*0.7, wanted)
+	l.congested = 0
+	l.trial = trial{active: true, before: mean, limit: l.current, skip: true}
+	l.current = max(l.minimum, l.current*trialShare)
 }
 
-// closeTrial ends a trial after its second window.
+// closeTrial ends a trial after its second window. When the time did not follow
+// the limit, the back end is slow at any load: that is its new time at low load,
+// and the limit is put back. Otherwise the limit becomes what the tolerance
+// allows by Little's law.
 func (l *Limit) closeTrial(mean float64) {
 	if l.trial.skip {
 		l.trial.skip = false
@@ -132,9 +145,11 @@
 	ended := l.trial
 	l.trial = trial{}
 	if mean > trialFollows*ended.before {
-		l.baseline = mean // it is slow at any load
+		l.baseline = mean
 		l.current = min(l.maximum, max(ended.limit, l.minimum))
 		return
 	}
 	l.baseline = min(max(l.baseline, mean/tolerance), mean)
+	wanted := ended.limit * tolerance * l.baseline / ended.before
+	l.current = min(l.maximum, max(l.current, wanted, l.minimum))
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -324,21 +324,26 @@
 	return entry.level >> min(int(age/b.config.LevelHalfLife), 16)
 }
 
-// Level returns the lowest admission level for a call path among the nodes that
-// take calls: a call of a lower priority would be refused by all of them.
+// Level returns the mean admission level for a call path of the nodes that take
+// calls. Calls of a lower priority are better refused here than further down.
+// The mean, not the lowest: with the lowest, what one node would still admit is
+// sent on by every caller at once, and most of it is refused after other
+// services have worked for it.
 func (b *Balancer) Level(now time.Time, path string) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	lowest := -1
+	sum, count := 0, 0
 	for _, candidate := range b.list {
 		if candidate.target.Suspect || candidate.ejected(now) {
 			continue
 		}
-		if level := b.levelOf(now, candidate, path); lowest < 0 || level < lowest {
-			lowest = level
-		}
+		sum += b.levelOf(now, candidate, path)
+		count++
+	}
+	if count == 0 {
+		return 0
 	}
-	return max(lowest, 0)
+	return sum / count
 }
 
 // Latency returns the smoothed latency of a node, 0 when it has not answered.
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -256,7 +257,7 @@
 	}
 	after, processor, taken := h.readCounts(), processorTime()-processorBefore, time.Since(began).Seconds()
 	var cost Cost
-	stayed := 0.0
+	stayed := math.SmallestNonzeroFloat64 // no division by zero when all were replaced
 	for id, first := range before {
 		last, exists := after[id]
 		if !exists {
