--- a/admission/limit.go
+++ b/admission/limit.go
@@ -25,6 +25,7 @@
 	count            int
 	peak             int // most requests in flight in this window
 	congested        int // windows in a row above the tolerance
+	saturated        int // windows in a row in which the limit was used
 	trial            trial
 }
 
@@ -44,6 +45,8 @@
 	initialLimit       = 20.0 // until something is known
 	reachedShare       = 0.8  // of the limit that must be used for it to grow
 	trialAfter         = 2    // congested windows before a trial
+	trialEvery         = 30   // windows with a used limit before a trial
+	largestFall        = 0.6  // of the limit in one trial
 	trialShare         = 0.7  // of the limit during a trial
 	trialFollows       = 0.85 // the time follows when it falls below this share
 	baselineFall       = 0.1  // share by which the baseline follows a lower time
@@ -97,38 +100,44 @@
 		l.closeTrial(mean)
 		return
 	}
-	l.learnBaseline(mean)
+	l.learnBaseline(mean, reached)
+	l.saturated++
+	if !reached {
+		l.saturated = 0
+	}
 	if mean > tolerance*l.baseline {
-		l.congest(mean)
-		return
+		l.congested++
+	} else {
+		l.congested = 0
 	}
-	l.congested = 0
-	if reached && mean < comfortable*l.baseline {
+	switch {
+	case l.congested >= trialAfter || l.saturated >= trialEvery:
+		l.beginTrial(mean)
+	case reached && mean < comfortable*l.baseline:
 		l.current = min(l.maximum, l.current+math.Sqrt(l.current))
 	}
 }
 
 // learnBaseline follows a time that falls, part of the way in each window: the
 // mean of a few requests may be low by chance. A time that rises is followed
-// only very slowly, since it may be queueing.
-func (l *Limit) learnBaseline(mean float64) {
+// slowly, and only while the limit is not used, since otherwise it may be
+// queueing.
+func (l *Limit) learnBaseline(mean float64, reached bool) {
 	switch {
 	case l.baseline == 0:
 		l.baseline = mean
 	case mean < l.baseline:
 		l.baseline += baselineFall * (mean - l.baseline)
-	case mean <= tolerance*l.baseline:
+	case !reached:
 		l.baseline += baselineRise * (mean - l.baseline)
 	}
 }
 
-// congest begins a trial once the time has been high for some windows.
-func (l *Limit) congest(mean float64) {
-	l.congested++
-	if l.congested < trialAfter {
-		return
-	}
-	l.congested = 0
+// beginTrial lowers the limit to see whether the time follows. That happens
+// when the time has been high for some windows, and now and then while the
+// limit is used all the time, so that a wrong baseline does not last.
+func (l *Limit) beginTrial(mean float64) {
+	l.congested, l.saturated = 0, 0
 	l.trial = trial{active: true, before: mean, limit: l.current, skip: true}
 	l.current = max(l.minimum, l.current*trialShare)
 }
@@ -149,7 +158,7 @@
 		l.current = min(l.maximum, max(ended.limit, l.minimum))
 		return
 	}
-	l.baseline = min(max(l.baseline, mean/tolerance), mean)
+	l.baseline = min(l.baseline, mean)
 	wanted := ended.limit * tolerance * l.baseline / ended.before
-	l.current = min(l.maximum, max(l.current, wanted, l.minimum))
+	l.current = min(l.maximum, max(wanted, ended.limit*largestFall, l.minimum))
 }
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -244,8 +244,6 @@
 		ServiceMeta: map[string]string{consulkv.MetaZone: m.zone}}
 }
 
-func (c *cluster) deregister(m *member) { c.platform.Deregister(m.control) }
-
 func (c *cluster) zone() string {
 	c.count++
 	return fmt.Sprintf("z%d", c.count%3+1)
--- a/internal/emulator/arms.go
+++ b/internal/emulator/arms.go
@@ -1,7 +1,5 @@
 package emulator
 
-import "time"
-
 // Arm is one way of control that is compared.
 type Arm struct {
 	Name string
@@ -15,7 +13,6 @@
 	hopRetries  int  // retries of each hop when there is no budget
 	ratio       bool // retries bounded as a share of calls
 	balance     bool // by observed load; else round robin
-	attemptTime time.Duration
 }
 
 // Arms are the ways of control that are compared.
--- a/internal/emulator/serve.go
+++ b/internal/emulator/serve.go
@@ -21,8 +21,7 @@
 		w.enter(b, r, i, account, item, func(got reply, _ time.Duration) { done(got) })
 		return
 	}
-	var ticket *admission.Ticket
-	ticket = b.controller.Ask(w.now, r.priority, r.deadline, func(verdict admission.Verdict) {
+	b.controller.Ask(w.now, r.priority, r.deadline, func(verdict admission.Verdict) {
 		// The controller must not be called from here.
 		w.after(0, func() {
 			if verdict != admission.Admitted {
@@ -38,7 +37,6 @@
 			})
 		})
 	})
-	_ = ticket
 	w.after(policy.DefaultQueueTime, func() { b.controller.Expire(w.now) })
 }
 
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -76,7 +76,6 @@
 	mutex     sync.Mutex
 	processes []*kernel.Process
 	started   int
-	client    *http.Client
 }
 
 // MeasureHollow runs one size.
