Replay of recorded traces; fewer idle control connections

And 256 hollow processes ran into the limit of open files: each kept up to 64 idle connections for 3 s, though the next message mostly goes to another peer.

--- a/internal/emulator/arms.go
+++ b/internal/emulator/arms.go
@@ -5,14 +5,14 @@
 	Name string
 	Text string
 
-	admission   bool // limits and queues beside back ends
-	adaptive    bool // limits follow the back end; else fixed at its slots
-	ordered     bool // by priority; else first come, first served
-	early       bool // levels travel upstream and refuse at the door
-	budget      int  // retries of a user request over the whole chain, -1: each hop retries on its own
-	hopRetries  int  // retries of each hop when there is no budget
-	ratio       bool // retries bounded as a share of calls
-	balance     bool // by observed load; else round robin
+	admission  bool // limits and queues beside back ends
+	adaptive   bool // limits follow the back end; else fixed at its slots
+	ordered    bool // by priority; else first come, first served
+	early      bool // levels travel upstream and refuse at the door
+	budget     int  // retries of a user request over the whole chain, -1: each hop retries on its own
+	hopRetries int  // retries of each hop when there is no budget
+	ratio      bool // retries bounded as a share of calls
+	balance    bool // by observed load; else round robin
 }
 
 // Arms are the ways of control that are compared.
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -30,6 +30,8 @@
 	Backend backendCommand `cmd:"" help:"Run a stand-in for a back end."`
 	Load    loadCommand    `cmd:"" help:"Send a bounded load to a gateway and print a summary."`
 
+	Replay replayCommand `cmd:"" help:"Play recorded traces through the decision code."`
+
 	Experiment experimentCommand `cmd:"" help:"Play overload scenarios in virtual time and compare ways of control."`
 
 	Capacity capacityCommand `cmd:"" help:"Measure what control costs with hollow processes of several numbers."`
--- a/kernel/control.go
+++ b/kernel/control.go
@@ -26,8 +26,8 @@
 const (
 	maximumControlClients = 2048
 	controlDialTimeout    = time.Second
-	controlIdleTimeout    = 3 * time.Second
-	controlIdleConns      = 64
+	controlIdleTimeout    = time.Second
+	controlIdleConns      = 16
 )
 
 func newControlClient(counters *Counters) *ControlClient {
