Cuts between processes, and fast refusals without a majority

Cause: a request that may not be repeated was refused on the minority's side only after 6 s: four attempts of 1.5 s, although each round said at once that too few replicas answer. A refusal must come at once. Change: the long patience is kept only while a replica says that its group changes; otherwise two rounds decide. Processes reach each other through a dial function that embedders can replace; the lab cuts meshes with it. The runner of a payment that is cut off and healed: one run, the answer is given afterwards.

--- a/claims/round.go
+++ b/claims/round.go
@@ -18,6 +18,7 @@
 	replied  int
 	granted  int
 	outdated bool
+	changing bool
 	holder   *Claim
 	answer   *Answer
 }
@@ -41,6 +42,9 @@
 		}
 	case Stale:
 		r.outdated = true
+		r.changing = true
+	case Behind, Syncing:
+		r.changing = true
 	}
 	return r.Decision()
 }
@@ -71,5 +75,9 @@
 	}
 }
 
+// Changing reports whether a replica replied that the group is changing its
+// epoch, so that another round may soon be decided.
+func (r *Round) Changing() bool { return r.changing }
+
 // Holder returns the claim that holds the key, and its answer when known.
 func (r *Round) Holder() (*Claim, *Answer) { return r.holder, r.answer }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,11 @@
 	return open(kernel.Options{Settings: s, Log: log})
 }
 
+// OpenWithDial makes a Process that reaches others through dial.
+func OpenWithDial(s settings.Settings, log *event.Logger, dial kernel.DialFunc) (*kernel.Process, error) {
+	return open(kernel.Options{Settings: s, Log: log, Dial: dial})
+}
+
 // OpenHollow makes a Process without traffic, to measure the cost of control.
 func OpenHollow(s settings.Settings, log *event.Logger) (*kernel.Process, error) {
 	return open(kernel.Options{Settings: s, Log: log, Hollow: true})
--- /dev/null
+++ b/internal/lab/cut_test.go
@@ -0,0 +1,102 @@
+package lab
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/internal/standin/backend"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// pay sends a payment that may not be repeated.
+func pay(ctx context.Context, mesh *Mesh, key, delay string) (*http.Response, string, error) {
+	header := map[string]string{wire.HeaderIdempotencyKey: key, backend.HeaderTag: key, backend.HeaderDelay: delay}
+	return ask(ctx, mesh, "s0", "POST", "/charges", header, strings.NewReader("12 EUR"))
+}
+
+// runsOf returns the nodes whose back ends ran a request with the tag, once for
+// each run.
+func runsOf(mesh *Mesh, tag string) []*Node {
+	found := []*Node{}
+	for _, node := range mesh.Nodes {
+		for _, run := range node.Backend.Runs() {
+			if run.Tag == tag {
+				found = append(found, node)
+			}
+		}
+	}
+	return found
+}
+
+// TestAtMostOnceWhenTheRunnerIsCutOff cuts the node that runs a payment off from
+// all other processes, and asks for the payment again meanwhile and afterwards.
+func TestAtMostOnceWhenTheRunnerIsCutOff(t *testing.T) {
+	is := is.New(t)
+	mesh := startTestMesh(t, MeshConfig{Graph: chainOf(1, 1), Backends: 4, Gateways: 1, Zones: []string{"z1", "z2", "z3"}, KeepRecords: true})
+	ctx, cancel := context.WithTimeout(t.Context(), testPatience)
+	defer cancel()
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		response, _, err := pay(ctx, mesh, "cut", "800ms")
+		if err == nil && response.Header.Get(result.HeaderOutcome) == result.OutcomeNotRun {
+			t.Error("a payment that ran was reported as not run")
+		}
+	}()
+	is.NoErr(waitFor(ctx, "the payment to run", func() bool { return len(runsOf(mesh, "cut")) > 0 }))
+	runner := runsOf(mesh, "cut")[0]
+	mesh.Cut(runner.Process)
+	for range 5 {
+		response, _, err := pay(ctx, mesh, "cut", "")
+		is.NoErr(err)
+		known := response.StatusCode == http.StatusOK || response.Header.Get(result.HeaderOutcome) == result.OutcomeUnknown
+		is.True(known) // the answer, or that the outcome is unknown; never "not run"
+		is.Equal(len(runsOf(mesh, "cut")), 1)
+	}
+	<-first
+	mesh.Heal()
+	is.NoErr(waitFor(ctx, "the answer of the first run", func() bool {
+		response, body, err := pay(ctx, mesh, "cut", "")
+		return err == nil && response.StatusCode == http.StatusOK && body == "12 EUR"
+	}))
+	is.Equal(len(runsOf(mesh, "cut")), 1)
+}
+
+// TestAMinorityRunsNothing cuts a node with a gateway off: requests that may not
+// be repeated are refused there as not run, and go on on the other side.
+func TestAMinorityRunsNothing(t *testing.T) {
+	is := is.New(t)
+	mesh := startTestMesh(t, MeshConfig{Graph: chainOf(1, 1), Backends: 5, Gateways: 2, Zones: []string{"z1", "z2", "z3"}, KeepRecords: true})
+	ctx, cancel := context.WithTimeout(t.Context(), testPatience)
+	defer cancel()
+	mesh.Cut(mesh.Nodes[0].Process, mesh.Gateways[0])
+	refusedOrRan := func(key string) bool {
+		response, _, err := pay(ctx, mesh, key, "")
+		is.NoErr(err)
+		ran := len(runsOf(mesh, key))
+		if response.Header.Get(result.HeaderOutcome) == result.OutcomeNotRun {
+			is.Equal(ran, 0) // truly not run anywhere
+			return true
+		}
+		is.True(ran <= 1)
+		return false
+	}
+	refused := 0
+	for _, key := range []string{"a", "b", "c", "d", "e", "f"} {
+		if refusedOrRan(key) {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+	mesh.Gateways[0], mesh.Gateways[1] = mesh.Gateways[1], mesh.Gateways[0]
+	is.NoErr(waitFor(ctx, "payments on the side of the majority", func() bool {
+		response, _, err := pay(ctx, mesh, "majority "+time.Now().String(), "")
+		return err == nil && response.StatusCode == http.StatusOK
+	}))
+}
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -62,6 +62,7 @@
 	mutex  sync.Mutex
 	seeds  []string
 	count  int
+	cuts   cuts
 }
 
 // StartMesh starts a mesh and waits until all processes are ready.
@@ -128,10 +129,11 @@
 
 // open makes a process, starts it and enters it in the machine list.
 func (m *Mesh) open(s settings.Settings) (*kernel.Process, error) {
-	process, err := daemon.Open(s, m.config.Log.With("process", s.ID))
+	process, err := daemon.OpenWithDial(s, m.config.Log.With("process", s.ID), m.cuts.dialFrom(s.ID))
 	if err != nil {
 		return nil, err
 	}
+	m.cuts.name(s.ID, process)
 	go func() { _ = process.Start(context.Background()) }()
 	m.mutex.Lock()
 	m.seeds = append(m.seeds, process.ControlAddress())
--- a/kernel/control.go
+++ b/kernel/control.go
@@ -30,14 +30,16 @@
 	controlIdleConns      = 16
 )
 
-func newControlClient(counters *Counters) *ControlClient {
-	dialer := &net.Dialer{Timeout: controlDialTimeout}
+func newControlClient(counters *Counters, dial DialFunc) *ControlClient {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: controlDialTimeout}).DialContext
+	}
 	return &ControlClient{
 		counters: counters,
 		clients:  map[string]*kratoshttp.Client{},
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, address)
+				conn, err := dial(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -26,11 +26,17 @@
 	Log      *event.Logger
 	Store    platform.Store       // nil: none
 	Machines platform.MachineList // nil: none
+	// Dial opens connections to other processes. Embedders may use it to reach
+	// them in another way, tests to cut them off. Default: a net.Dialer.
+	Dial DialFunc
 	// Hollow leaves out the traffic listeners. Hollow processes measure the
 	// cost of control.
 	Hollow bool
 }
 
+// DialFunc opens a TCP connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Documents is what the plug-in that spreads documents provides.
 type Documents interface {
 	// Revisions returns the revisions that this process has.
@@ -66,6 +72,7 @@
 	Machines platform.MachineList
 	Metrics  *prometheus.Registry
 	Control  *ControlClient
+	Dial     DialFunc // nil: a net.Dialer
 	Counters Counters
 
 	// Policy is the policy tree in force.
@@ -144,7 +151,8 @@
 	p.Members.Store(&[]membership.Member{})
 	p.executions = newExecutions(p.ID)
 	p.middleware = [2]map[string]Middleware{{}, {}}
-	p.Control = newControlClient(&p.Counters)
+	p.Dial = options.Dial
+	p.Control = newControlClient(&p.Counters, options.Dial)
 	p.Counters.register(p.Metrics)
 	if err := p.listen(); err != nil {
 		return nil, err
--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -41,6 +41,8 @@
 	IdleTimeout time.Duration
 	// MaximumConnections bounds the connections to one address, 0 for none.
 	MaximumConnections int
+	// Dial opens connections. Default: a net.Dialer.
+	Dial DialFunc
 	// Refused is the code of the error when no connection could be opened.
 	Refused result.Code
 }
@@ -60,12 +62,15 @@
 
 // NewTransmitter returns a Transmitter.
 func NewTransmitter(config TransmitterConfig) *Transmitter {
-	dialer := &net.Dialer{Timeout: config.DialTimeout}
+	dial := config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: config.DialTimeout}).DialContext
+	}
 	return &Transmitter{
 		refused: config.Refused,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, address)
+				conn, err := dial(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
--- a/plugin/once/once.go
+++ b/plugin/once/once.go
@@ -31,7 +31,8 @@
 // Times of claiming.
 const (
 	claimTimeout      = 400 * time.Millisecond  // for the reply of one replica
-	claimPatience     = 1500 * time.Millisecond // for a claim in all
+	claimPatience     = 1500 * time.Millisecond // for a claim in all, while the group changes
+	claimRounds       = 2                       // without a majority, while it does not change
 	claimBackoff      = 20 * time.Millisecond
 	refusalRetryAfter = time.Second
 	outcomeTimeout    = time.Second // for one question to a runner
@@ -145,22 +146,28 @@
 	answer  *claims.Answer // of the earlier run, when not granted
 }
 
+// claimProgress is what the rounds of one claim have led to so far.
+type claimProgress struct {
+	abandoned []string // runs that are known never to run
+	hopeless  int      // rounds in a row in which too few replicas answered
+}
+
 // claim asks for the key until it is decided.
 func (o *once) claim(call *kernel.Call, current *run) (claimed, error) {
-	abandoned := []string{}
+	progress := claimProgress{}
 	giveUp := time.Now().Add(claimPatience)
 	if call.Deadline.Before(giveUp) {
 		giveUp = call.Deadline
 	}
 	for {
-		outcome, err := o.claimOnce(call, current, &abandoned)
+		outcome, err := o.claimOnce(call, current, &progress)
 		if err != nil || outcome != nil {
 			if err != nil {
 				return claimed{}, err
 			}
 			return *outcome, nil
 		}
-		if time.Now().After(giveUp) || call.Context.Err() != nil {
+		if progress.hopeless >= claimRounds || time.Now().After(giveUp) || call.Context.Err() != nil {
 			return claimed{}, unavailable()
 		}
 		pause(call.Context, claimBackoff+rand.N(claimBackoff))
@@ -180,8 +187,8 @@
 }
 
 // claimOnce makes one round. It returns nil without an error when another round
-// may decide, and adds the runs that are known never to run to abandoned.
-func (o *once) claimOnce(call *kernel.Call, current *run, abandoned *[]string) (*claimed, error) {
+// may decide.
+func (o *once) claimOnce(call *kernel.Call, current *run, progress *claimProgress) (*claimed, error) {
 	document := o.groups.Load()
 	if document == nil || len(document.Groups) == 0 {
 		return nil, nil
@@ -189,13 +196,18 @@
 	index := call.ClaimKey.GroupIndex(len(document.Groups))
 	id := uuid.NewString()
 	current.setID(id)
-	claim := claims.Claim{Key: call.ClaimKey, Fingerprint: call.Fingerprint, Run: id, Runner: o.self, Abandoned: *abandoned}
+	claim := claims.Claim{Key: call.ClaimKey, Fingerprint: call.Fingerprint, Run: id, Runner: o.self, Abandoned: progress.abandoned}
 	asked := time.Now()
 	round := o.askReplicas(call.Context, index, document.Groups[index], claim)
 	if round.Decision() == claims.Won {
 		return &claimed{granted: true, group: index, asked: asked}, nil
 	}
-	*abandoned = append(*abandoned, id)
+	progress.abandoned = append(progress.abandoned, id)
+	if round.Decision() == claims.Unavailable && !round.Changing() {
+		progress.hopeless++
+	} else {
+		progress.hopeless = 0
+	}
 	o.process.Go(func() { o.withdraw(index, call.ClaimKey, id) })
 	if round.Decision() != claims.Lost {
 		return nil, nil
@@ -210,7 +222,7 @@
 	}
 	outcome, err := o.askRunner(call, *holder)
 	if outcome == nil && err == nil {
-		*abandoned = append(*abandoned, holder.Run)
+		progress.abandoned = append(progress.abandoned, holder.Run)
 	}
 	return outcome, err
 }
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -33,6 +33,7 @@
 			DialTimeout: 500 * time.Millisecond,
 			MaximumIdle: 64,
 			IdleTimeout: 60 * time.Second,
+			Dial:        process.Dial,
 			Refused:     result.NodeRefused,
 		}),
 	}
