--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -235,3 +235,16 @@
 		controller.Done(epoch, ms, false, true)
 	}
 }
+
+// TestASmallLimitGrowsAgain: the limit is not a whole number, and what can be in
+// flight is; a limit of 2.59 counts as used when 2 are in flight.
+func TestASmallLimitGrowsAgain(t *testing.T) {
+	is := is.New(t)
+	limit := NewLimit(epoch, 2, 200)
+	limit.current = 2.59
+	for i := range 400 {
+		limit.Started(limit.Current())
+		limit.Finished(epoch.Add(time.Duration(i)*20*ms), 10*ms, false)
+	}
+	is.True(limit.Current() > 5)
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -170,7 +170,7 @@
 	}
 	c.sequence++
 	ticket.sequence = c.sequence
-	ticket.expires = now.Add(c.patience())
+	ticket.expires = now.Add(c.patience(ticket))
 	c.queue.unordered = c.config.Unordered
 	heap.Push(&c.queue, ticket)
 	c.dropExpired(now)
@@ -179,11 +179,20 @@
 	}
 }
 
+// criticalPatience is how many usual times of the back end a request of the
+// highest class may wait. It is served first, so that waiting costs the others
+// nothing, and it is refused only when it cannot finish in time.
+const criticalPatience = 4
+
 // patience is how long a request may wait: the configured time, or the usual
 // time of the back end when that is longer, since places become free at its
 // pace.
-func (c *Controller) patience() time.Duration {
-	return max(c.config.QueueTime, time.Duration(c.own*float64(time.Second)))
+func (c *Controller) patience(ticket *Ticket) time.Duration {
+	usual := time.Duration(c.own * float64(time.Second))
+	if ClassOf(ticket.priority) == classes-1 && !c.config.Unordered {
+		usual *= criticalPatience
+	}
+	return max(c.config.QueueTime, usual)
 }
 
 // queueLimit bounds the queue by the number in flight: more cannot be served
--- a/admission/level.go
+++ b/admission/level.go
@@ -16,7 +16,10 @@
 	waits    time.Duration
 	refused  int // by the queue or by the level
 	served   float64
-	quiet    int // windows in a row without a refusal
+
+	// Arrivals of the highest class and starts, smoothed over many windows.
+	criticalSlow float64
+	servedSlow   float64
 }
 
 const (
@@ -25,6 +28,8 @@
 	arrivalWeight = 0.4  // of the last window in the smoothed arrivals
 	windowStarts  = 8    // fewer starts make a window with refusals longer
 	longestWait   = 7    // windows by which it may become longer
+	slowWeight    = 0.05 // of the last window in what decides on the highest class
+	criticalLevel = (classes - 1) * prioritiesPerClass
 	headroom      = 1.02 // arrivals admitted for each one started
 	fallStep      = 16   // priorities by which the level falls in a quiet window
 	idleFallStep  = 96   // the same while a large part of the limit is free
@@ -57,6 +62,7 @@
 	}
 	windows := 1 + int(late/l.window)
 	l.end = now.Add(l.window)
+	l.learnSlowly()
 	for i := range l.arrivals {
 		l.arrivals[i] += arrivalWeight * (float64(l.recent[i]) - l.arrivals[i])
 		l.recent[i] = 0
@@ -65,11 +71,9 @@
 	overloaded := l.refused > 0 && room < fullRoom
 	l.starts, l.waits, l.refused = 0, 0, 0
 	if overloaded {
-		l.quiet = 0
 		l.raise()
 		return
 	}
-	l.quiet++
 	l.fall(room, windows)
 }
 
@@ -88,6 +92,20 @@
 	// At least one bucket stays open: a level that refuses everything could
 	// not learn when to fall.
 	l.current = min(level, MaximumLevel-bucketWidth)
+	if l.criticalSlow <= l.servedSlow*headroom {
+		l.current = min(l.current, criticalLevel)
+	}
+}
+
+// learnSlowly counts what decides whether the highest class itself does not
+// fit. A few windows are not enough to refuse it.
+func (l *levelControl) learnSlowly() {
+	critical := 0
+	for i := criticalLevel / bucketWidth; i < buckets; i++ {
+		critical += l.recent[i]
+	}
+	l.criticalSlow += slowWeight * (float64(critical) - l.criticalSlow)
+	l.servedSlow += slowWeight * (float64(l.starts) - l.servedSlow)
 }
 
 func (l *levelControl) fall(room float64, windows int) {
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -11,9 +11,9 @@
 // While both are alike and the limit was reached, it grows. When the time has
 // grown by more than the tolerance, requests queue inside the back end, or the
 // back end became slower for another reason than load. A trial tells: the limit
-// is halved for two windows. If the time follows, requests were queueing, and
-// the limit shrinks to the number that brings the time back (Little's law). If
-// it does not, the slower time becomes the new time at low load.
+// is lowered for two windows. If the time follows, requests were queueing, and
+// the lower limit stays. If it does not, the slower time becomes the new time
+// at low load, and the limit is put back.
 //
 // Limit is not safe for concurrent use.
 type Limit struct {
@@ -23,9 +23,10 @@
 	windowEnd        time.Time
 	sum              float64
 	count            int
-	peak             int // most requests in flight in this window
-	congested        int // windows in a row above the tolerance
-	saturated        int // windows in a row in which the limit was used
+	peak             int     // most requests in flight in this window
+	congested        int     // windows in a row above the tolerance
+	congestedSum     float64 // of the mean times of these windows
+	saturated        int     // windows in a row in which the limit was used
 	trial            trial
 }
 
@@ -40,16 +41,17 @@
 const (
 	windowTime         = 100 * time.Millisecond
 	windowSamples      = 16   // fewer samples make the window longer
+	trialSamples       = 40   // the same for the window of a trial
 	tolerance          = 1.5  // growth of the time that counts as queueing
 	comfortable        = 1.2  // growth of the time up to which the limit may grow
 	initialLimit       = 20.0 // until something is known
 	reachedShare       = 0.8  // of the limit that must be used for it to grow
 	trialAfter         = 2    // congested windows before a trial
 	trialEvery         = 30   // windows with a used limit before a trial
-	largestFall        = 0.6  // of the limit in one trial
 	trialShare         = 0.7  // of the limit during a trial
 	trialFollows       = 0.85 // the time follows when it falls below this share
 	baselineFall       = 0.1  // share by which the baseline follows a lower time
+	baselineDrop       = 0.5  // the same when the time is far lower
 	baselineRise       = 0.05 // share by which it follows a higher one
 	longestEmptyWindow = 5 * time.Second
 )
@@ -83,16 +85,25 @@
 	}
 	l.sum += own.Seconds()
 	l.count++
-	if now.Before(l.windowEnd) || l.count < windowSamples {
+	if now.Before(l.windowEnd) || l.count < l.samplesNeeded() {
 		return
 	}
 	l.closeWindow(now)
 }
 
+// samplesNeeded is larger for the window of a trial that is compared: a wrong
+// conclusion costs more than a longer trial.
+func (l *Limit) samplesNeeded() int {
+	if l.trial.active && !l.trial.skip {
+		return trialSamples
+	}
+	return windowSamples
+}
+
 // closeWindow adapts the limit to the window that ends now.
 func (l *Limit) closeWindow(now time.Time) {
 	mean := l.sum / float64(l.count)
-	reached := float64(l.peak) >= l.current*reachedShare
+	reached := float64(l.peak) >= float64(l.Current())*reachedShare
 	l.sum, l.count, l.peak = 0, 0, 0
 	length := time.Duration(2 * mean * float64(time.Second))
 	l.windowEnd = now.Add(min(max(windowTime, length), longestEmptyWindow))
@@ -107,11 +118,14 @@
 	}
 	if mean > tolerance*l.baseline {
 		l.congested++
+		l.congestedSum += mean
 	} else {
-		l.congested = 0
+		l.congested, l.congestedSum = 0, 0
 	}
 	switch {
-	case l.congested >= trialAfter || l.saturated >= trialEvery:
+	case l.congested >= trialAfter:
+		l.beginTrial(l.congestedSum / float64(l.congested))
+	case l.saturated >= trialEvery:
 		l.beginTrial(mean)
 	case reached && mean < comfortable*l.baseline:
 		l.current = min(l.maximum, l.current+math.Sqrt(l.current))
@@ -126,6 +140,8 @@
 	switch {
 	case l.baseline == 0:
 		l.baseline = mean
+	case mean*tolerance < l.baseline: // too low for chance
+		l.baseline += baselineDrop * (mean - l.baseline)
 	case mean < l.baseline:
 		l.baseline += baselineFall * (mean - l.baseline)
 	case !reached:
@@ -137,15 +153,14 @@
 // when the time has been high for some windows, and now and then while the
 // limit is used all the time, so that a wrong baseline does not last.
 func (l *Limit) beginTrial(mean float64) {
-	l.congested, l.saturated = 0, 0
+	l.congested, l.congestedSum, l.saturated = 0, 0, 0
 	l.trial = trial{active: true, before: mean, limit: l.current, skip: true}
 	l.current = max(l.minimum, l.current*trialShare)
 }
 
 // closeTrial ends a trial after its second window. When the time did not follow
 // the limit, the back end is slow at any load: that is its new time at low load,
-// and the limit is put back. Otherwise the limit becomes what the tolerance
-// allows by Little's law.
+// and the limit is put back.
 func (l *Limit) closeTrial(mean float64) {
 	if l.trial.skip {
 		l.trial.skip = false
@@ -158,7 +173,5 @@
 		l.current = min(l.maximum, max(ended.limit, l.minimum))
 		return
 	}
-	l.baseline = min(l.baseline, mean)
-	wanted := ended.limit * tolerance * l.baseline / ended.before
-	l.current = min(l.maximum, max(wanted, ended.limit*largestFall, l.minimum))
+	l.baseline = min(l.baseline, mean) // the limit stays where the trial put it
 }
