One discrete-event engine for the emulator and the gossip simulator

Cause: both had the same event queue, found when reading for doubled logic. Change: package internal/simulation; the two use it. Result: the tests of both give the same verdicts; the same seed still gives the same result (TestTheSameSeedGivesTheSameResult).

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -5,74 +5,20 @@
 package emulator
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"github.com/loomcleat/loomcleat/internal/simulation"
 )
 
-// engine is a discrete-event simulation.
+// engine is a simulation with a source of random numbers.
 type engine struct {
-	now    time.Time
-	events eventHeap
-	next   int
+	*simulation.Engine
 	random *rand.Rand
 }
 
-type scheduled struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventHeap []scheduled
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *eventHeap) Push(value any) {
-	event, _ := value.(scheduled)
-	*h = append(*h, event)
-}
-
-// Pop implements heap.Interface.
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
-// epoch is the start of virtual time.
-var epoch = time.Unix(1_700_000_000, 0)
-
 func newEngine(seed uint64) *engine {
-	return &engine{now: epoch, random: rand.New(rand.NewPCG(seed, 99))}
-}
-
-// after runs a function after a span of virtual time.
-func (e *engine) after(wait time.Duration, run func()) {
-	e.next++
-	heap.Push(&e.events, scheduled{e.now.Add(max(wait, 0)), e.next, run})
-}
-
-// elapsed returns the virtual time since the start.
-func (e *engine) elapsed() time.Duration { return e.now.Sub(epoch) }
-
-// runUntil plays events up to a point of virtual time.
-func (e *engine) runUntil(end time.Duration) {
-	for len(e.events) > 0 && e.events[0].at.Sub(epoch) <= end {
-		event, _ := heap.Pop(&e.events).(scheduled)
-		e.now = event.at
-		event.run()
-	}
-	e.now = epoch.Add(end)
+	return &engine{Engine: simulation.New(), random: rand.New(rand.NewPCG(seed, 99))}
 }
 
 // exponential draws an exponentially distributed span with the given mean.
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -114,7 +114,7 @@
 	w.backends[service][0] = cold
 	w.membershipChanged(service, time.Second)
 	for step := range 10 {
-		w.after(coldTime*time.Duration(step+1)/10, func() {
+		w.After(coldTime*time.Duration(step+1)/10, func() {
 			cold.slow = 1 + (coldFactor-1)*float64(9-step)/10
 		})
 	}
@@ -122,12 +122,12 @@
 
 // play runs a scenario.
 func (s Scenario) play(w *world) {
-	w.after(s.begin, func() { s.beginFault(w) })
-	w.after(s.end, func() { s.endFault(w) })
+	w.After(s.begin, func() { s.beginFault(w) })
+	w.After(s.end, func() { s.endFault(w) })
 	for kind := range w.mesh.Kinds {
 		w.arrive(s, kind)
 	}
-	w.runUntil(s.finish + 10*time.Second)
+	w.Run(s.finish + 10*time.Second)
 }
 
 func (s Scenario) beginFault(w *world) {
@@ -171,9 +171,9 @@
 
 // arrive sends user requests of a kind as a Poisson process.
 func (w *world) arrive(s Scenario, kind int) {
-	rate := s.demand(w, kind, w.elapsed())
-	w.after(w.exponential(time.Duration(float64(time.Second)/rate)), func() {
-		if w.elapsed() >= s.finish {
+	rate := s.demand(w, kind, w.Elapsed())
+	w.After(w.exponential(time.Duration(float64(time.Second)/rate)), func() {
+		if w.Elapsed() >= s.finish {
 			return
 		}
 		w.arrive(s, kind)
@@ -185,9 +185,9 @@
 
 // sendAs sends a user request, and again when callers retry hard.
 func (w *world) sendAs(s Scenario, kind int, earlier int) {
-	sent := w.elapsed()
+	sent := w.Elapsed()
 	w.send(kind, func(ok bool) {
-		w.outcomes = append(w.outcomes, outcome{sent: sent, ended: w.elapsed(), kind: kind, completed: ok, first: earlier == 0})
+		w.outcomes = append(w.outcomes, outcome{sent: sent, ended: w.Elapsed(), kind: kind, completed: ok, first: earlier == 0})
 		if !ok && s.hard && earlier < hardRetries {
 			w.sendAs(s, kind, earlier+1)
 		}
@@ -232,7 +232,7 @@
 	result.Series = w.series(s.finish)
 	last := w.mesh.Services[len(w.mesh.Services)-1].Name
 	if controller := w.backends[last][0].controller; controller != nil {
-		result.Limit = controller.State(w.now).Limit
+		result.Limit = controller.State(w.Now()).Limit
 	}
 	return result
 }
--- a/internal/emulator/serve.go
+++ b/internal/emulator/serve.go
@@ -15,21 +15,21 @@
 		if b.controller == nil || !w.arm.ordered {
 			return 0
 		}
-		return b.controller.State(w.now).Level
+		return b.controller.State(w.Now()).Level
 	}
 	if b.controller == nil {
 		w.enter(b, r, i, account, item, func(got reply, _ time.Duration) { done(got) })
 		return
 	}
-	b.controller.Ask(w.now, r.priority, r.deadline, func(verdict admission.Verdict) {
+	b.controller.Ask(w.Now(), r.priority, r.deadline, func(verdict admission.Verdict) {
 		// The controller must not be called from here.
-		w.after(0, func() {
+		w.After(0, func() {
 			if verdict != admission.Admitted {
 				done(reply{refused: true, final: verdict == admission.TooLate, unspent: account.Close(), level: level()})
 				return
 			}
 			w.enter(b, r, i, account, item, func(got reply, own time.Duration) {
-				b.controller.Done(w.now, own, got.refused, !item.cancelled)
+				b.controller.Done(w.Now(), own, got.refused, !item.cancelled)
 				got.level = max(got.level, level())
 				got.unspent = account.Close()
 				got.refused = false // it ran
@@ -37,7 +37,7 @@
 			})
 		})
 	})
-	w.after(policy.DefaultQueueTime, func() { b.controller.Expire(w.now) })
+	w.After(policy.DefaultQueueTime, func() { b.controller.Expire(w.Now()) })
 }
 
 // enter plays a request inside a back end: a connection, a slot or the queue for
@@ -50,7 +50,7 @@
 		return
 	}
 	b.connections++
-	arrived := w.now
+	arrived := w.Now()
 	finish := func(got reply, own time.Duration) {
 		b.connections--
 		ended(got, own)
@@ -58,12 +58,12 @@
 	item.run = func() {
 		if item.cancelled || b.gone {
 			w.release(b)
-			finish(reply{}, w.now.Sub(arrived))
+			finish(reply{}, w.Now().Sub(arrived))
 			return
 		}
 		w.work(b, r, func() {
 			w.release(b)
-			w.goOn(b, r, i, account, w.now.Sub(arrived), finish)
+			w.goOn(b, r, i, account, w.Now().Sub(arrived), finish)
 		})
 	}
 	if b.busy < b.service.Slots {
@@ -77,7 +77,7 @@
 // work takes the own time of a request. Half of it is fixed.
 func (w *world) work(b *backend, r *request, done func()) {
 	duration := time.Duration(float64(w.exponential(b.service.Work)/2+b.service.Work/2) * b.slow)
-	w.after(duration, func() {
+	w.After(duration, func() {
 		if b.frozen {
 			return // nothing comes out of it any more
 		}
@@ -105,5 +105,5 @@
 	}
 	next := b.waiting[0]
 	b.waiting = b.waiting[1:]
-	w.after(0, next.run)
+	w.After(0, next.run)
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -94,7 +94,7 @@
 func (w *world) newBackend(service *Service, number int) *backend {
 	b := &backend{id: fmt.Sprintf("%s-%d", service.Name, number), service: service, zone: number % w.mesh.Zones, slow: 1}
 	if w.arm.admission {
-		b.controller = admission.NewController(w.now, admission.Config{
+		b.controller = admission.NewController(w.Now(), admission.Config{
 			MaximumLimit: w.maximumLimit(service),
 			QueueTime:    policy.DefaultQueueTime,
 			FixedLimit:   !w.arm.adaptive,
@@ -121,7 +121,7 @@
 	}
 	created := balance.New(balance.Config{Region: "r", Zone: strconv.Itoa(zone), Random: w.random.IntN})
 	w.balancers[key] = created
-	w.updateBalancer(created, service, w.now.Add(-time.Hour))
+	w.updateBalancer(created, service, w.Now().Add(-time.Hour))
 	return created
 }
 
@@ -138,10 +138,10 @@
 
 // membershipChanged tells all balancers, after the time that gossip takes.
 func (w *world) membershipChanged(service string, after time.Duration) {
-	w.after(after, func() {
+	w.After(after, func() {
 		for key, b := range w.balancers {
 			if len(key) > len(service) && key[len(key)-len(service)-1:] == " "+service {
-				w.updateBalancer(b, service, w.now)
+				w.updateBalancer(b, service, w.Now())
 			}
 		}
 	})
@@ -175,7 +175,7 @@
 func (w *world) send(kind int, done func(bool)) {
 	w.requests++
 	model := w.mesh.Kinds[kind]
-	r := &request{kind: kind, name: strconv.FormatUint(w.requests, 10), deadline: w.now.Add(model.Deadline)}
+	r := &request{kind: kind, name: strconv.FormatUint(w.requests, 10), deadline: w.Now().Add(model.Deadline)}
 	r.priority = admission.Priority(int(model.Class), r.name)
 	entry := w.doors[w.random.IntN(len(w.doors))]
 	account := retrybudget.Open(max(w.arm.budget, 0))
@@ -192,10 +192,10 @@
 		}
 		done(ok)
 	}
-	w.after(model.Deadline, func() { finish(false) }) // the caller gives up
-	w.after(w.mesh.Callers, func() {
+	w.After(model.Deadline, func() { finish(false) }) // the caller gives up
+	w.After(w.mesh.Callers, func() {
 		w.call(hop{entry.id, entry.zone}, r, 0, account, func(got reply) {
-			w.after(w.mesh.Callers, func() { finish(got.ok) })
+			w.After(w.mesh.Callers, func() { finish(got.ok) })
 		})
 	})
 }
@@ -203,7 +203,7 @@
 // call makes the call to the i-th service of the chain, with retries.
 func (w *world) call(from hop, r *request, i int, account *retrybudget.Account, done func(reply)) {
 	service := w.mesh.Kinds[r.kind].Chain[i]
-	w.ratio(from, service).Call(w.now, policy.DefaultRetryRatio)
+	w.ratio(from, service).Call(w.Now(), policy.DefaultRetryRatio)
 	left := w.arm.hopRetries
 	tried := []string{}
 	var attempt func()
@@ -211,7 +211,7 @@
 		loan := account.Lend()
 		w.attempt(from, r, i, loan, &tried, func(got reply) {
 			account.Repay(loan, got.unspent)
-			if got.ok || got.final || !w.now.Before(r.deadline) || !w.mayRepeat(from, service, r, got, account, &left) {
+			if got.ok || got.final || !w.Now().Before(r.deadline) || !w.mayRepeat(from, service, r, got, account, &left) {
 				done(got)
 				return
 			}
@@ -234,13 +234,13 @@
 	if !account.Spend() {
 		return false
 	}
-	return !w.arm.ratio || w.ratio(from, service).Retry(w.now)
+	return !w.arm.ratio || w.ratio(from, service).Retry(w.Now())
 }
 
 func (w *world) ratio(from hop, service string) *retrybudget.Ratio {
 	key := from.id + " " + service
 	if _, exists := w.ratios[key]; !exists {
-		w.ratios[key] = retrybudget.NewRatio(w.now)
+		w.ratios[key] = retrybudget.NewRatio(w.Now())
 	}
 	return w.ratios[key]
 }
@@ -254,7 +254,7 @@
 	}
 	b := w.balancer(from.id, from.zone, service)
 	if w.arm.early {
-		if level := b.Level(w.now, path); r.priority < level {
+		if level := b.Level(w.Now(), path); r.priority < level {
 			return nil, reply{refused: true, final: true, level: level}
 		}
 	}
@@ -262,10 +262,10 @@
 	if !w.arm.early {
 		priority = admission.MaximumPriority
 	}
-	target, found := b.Pick(w.now, path, priority, *tried)
+	target, found := b.Pick(w.Now(), path, priority, *tried)
 	if !found {
 		*tried = nil
-		target, found = b.Pick(w.now, path, priority, nil)
+		target, found = b.Pick(w.Now(), path, priority, nil)
 	}
 	if !found {
 		return nil, reply{refused: true, final: true}
@@ -294,7 +294,7 @@
 		done(refusal)
 		return
 	}
-	started := w.now
+	started := w.Now()
 	ended := false
 	item := &work{}
 	finish := func(got reply, outcome balance.Outcome) {
@@ -304,31 +304,31 @@
 		ended = true
 		if w.arm.balance {
 			b := w.balancer(from.id, from.zone, service)
-			b.Done(w.now, target.id, w.now.Sub(started), outcome)
+			b.Done(w.Now(), target.id, w.Now().Sub(started), outcome)
 			if w.arm.early && outcome == balance.Answered {
-				b.SetLevel(w.now, target.id, path, got.level)
-				got.level = b.Level(w.now, path)
+				b.SetLevel(w.Now(), target.id, path, got.level)
+				got.level = b.Level(w.Now(), path)
 			}
 		}
 		done(got)
 	}
-	w.after(w.attemptTime(from, r, service, target, started), func() {
+	w.After(w.attemptTime(from, r, service, target, started), func() {
 		if !ended {
 			item.cancelled = true
 			finish(reply{}, balance.Failed)
 		}
 	})
 	way := w.way(from.zone, target.zone)
-	w.after(way, func() {
+	w.After(way, func() {
 		if target.gone {
-			w.after(way, func() { finish(reply{refused: true, unspent: loan}, balance.Failed) })
+			w.After(way, func() { finish(reply{refused: true, unspent: loan}, balance.Failed) })
 			return
 		}
 		if target.frozen {
 			return
 		}
 		w.serve(target, r, i, loan, item, func(got reply) {
-			w.after(way, func() { finish(got, balance.Answered) })
+			w.After(way, func() { finish(got, balance.Answered) })
 		})
 	})
 }
--- a/internal/lab/gossip.go
+++ b/internal/lab/gossip.go
@@ -1,26 +1,23 @@
 package lab
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"sort"
 	"time"
 
+	"github.com/loomcleat/loomcleat/internal/simulation"
 	"github.com/loomcleat/loomcleat/membership"
 )
 
 // GossipSim plays the membership machines of a whole mesh in virtual time, with
 // losses, delays, crashes, freezes and cuts. The same seed gives the same run.
 type GossipSim struct {
+	*simulation.Engine
 	config  GossipConfig
-	now     time.Time
-	start   time.Time
 	random  *rand.Rand
 	members []*simMember
 	byAddr  map[string]*simMember
-	events  eventHeap
-	next    int
 	Changes []GossipChange // of what members believe
 	Sent    int            // messages
 }
@@ -59,44 +56,12 @@
 	pending []func()
 }
 
-type simEvent struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventHeap []simEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *eventHeap) Push(value any) {
-	event, _ := value.(simEvent)
-	*h = append(*h, event)
-}
-
-// Pop implements heap.Interface.
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // NewGossipSim starts a mesh whose members know the first one as their seed.
 func NewGossipSim(config GossipConfig) *GossipSim {
 	if config.Interval == 0 {
 		config.Interval = time.Second
 	}
-	start := time.Unix(1_000_000, 0)
-	s := &GossipSim{config: config, now: start, start: start, byAddr: map[string]*simMember{}}
+	s := &GossipSim{Engine: simulation.New(), config: config, byAddr: map[string]*simMember{}}
 	s.random = rand.New(rand.NewPCG(config.Seed, 1))
 	for i := range config.Members {
 		s.add(i)
@@ -117,21 +82,15 @@
 	if s.config.Adjust != nil {
 		s.config.Adjust(&config)
 	}
-	member.machine = membership.New(config, s.now)
+	member.machine = membership.New(config, s.Now())
 	member.machine.SetSeeds([]string{address(0)})
 	s.members = append(s.members, member)
 	s.byAddr[address(i)] = member
-	s.after(time.Duration(s.random.Int64N(int64(s.config.Interval))), func() { s.tick(member) })
+	s.After(time.Duration(s.random.Int64N(int64(s.config.Interval))), func() { s.tick(member) })
 }
 
 func (s *GossipSim) changed(observer *simMember, after membership.Member) {
-	s.Changes = append(s.Changes, GossipChange{s.now.Sub(s.start), observer.id, after.ID, after.Status, after.Leaving})
-}
-
-// after runs a function at a later virtual time.
-func (s *GossipSim) after(wait time.Duration, run func()) {
-	s.next++
-	heap.Push(&s.events, simEvent{s.now.Add(wait), s.next, run})
+	s.Changes = append(s.Changes, GossipChange{s.Elapsed(), observer.id, after.ID, after.Status, after.Leaving})
 }
 
 // tick lets one member do what is due, again and again.
@@ -140,9 +99,9 @@
 		return
 	}
 	if !member.frozen {
-		s.deliver(member, member.machine.Tick(s.now))
+		s.deliver(member, member.machine.Tick(s.Now()))
 	}
-	s.after(s.config.Interval/20, func() { s.tick(member) })
+	s.After(s.config.Interval/20, func() { s.tick(member) })
 }
 
 // deliver sends messages of a member.
@@ -165,19 +124,19 @@
 // exchange plays one message and its answer.
 func (s *GossipSim) exchange(from *simMember, send membership.Send) {
 	answered := false
-	s.after(s.config.Interval/2, func() {
+	s.After(s.config.Interval/2, func() {
 		if !answered {
 			answered = true
-			s.receive(from, func() { s.deliver(from, from.machine.Failed(s.now, send)) })
+			s.receive(from, func() { s.deliver(from, from.machine.Failed(s.Now(), send)) })
 		}
 	})
 	to := s.byAddr[send.To]
 	if !s.reaches(from, to) || s.lost() {
 		return
 	}
-	s.after(s.delay(), func() {
+	s.After(s.delay(), func() {
 		s.receive(to, func() {
-			reply := to.machine.Receive(s.now, send.Message)
+			reply := to.machine.Receive(s.Now(), send.Message)
 			if send.Message.Kind == membership.PingThrough {
 				target := s.byAddr[send.Message.Target]
 				reply.OK = s.reaches(to, target) && !target.frozen && !s.lost() && !s.lost() && !s.late(target)
@@ -185,12 +144,12 @@
 			if s.lost() || !s.reaches(to, from) {
 				return
 			}
-			s.after(s.delay(), func() {
+			s.After(s.delay(), func() {
 				if answered {
 					return
 				}
 				answered = true
-				s.receive(from, func() { s.deliver(from, from.machine.Replied(s.now, send, reply)) })
+				s.receive(from, func() { s.deliver(from, from.machine.Replied(s.Now(), send, reply)) })
 			})
 		})
 	})
@@ -214,7 +173,7 @@
 	case member.frozen:
 		member.pending = append(member.pending, run)
 	case s.late(member):
-		s.after(s.config.Interval, func() {
+		s.After(s.config.Interval, func() {
 			if !member.down && !member.frozen {
 				run()
 			}
@@ -224,20 +183,6 @@
 	}
 }
 
-// Run lets virtual time pass.
-func (s *GossipSim) Run(span time.Duration) {
-	end := s.now.Add(span)
-	for len(s.events) > 0 && !s.events[0].at.After(end) {
-		event, _ := heap.Pop(&s.events).(simEvent)
-		s.now = event.at
-		event.run()
-	}
-	s.now = end
-}
-
-// Elapsed returns the virtual time since the start.
-func (s *GossipSim) Elapsed() time.Duration { return s.now.Sub(s.start) }
-
 // Crash ends a member at once.
 func (s *GossipSim) Crash(i int) { s.members[i].down = true }
 
@@ -253,7 +198,7 @@
 	member.frozen = false
 	pending := member.pending
 	member.pending = nil
-	s.deliver(member, member.machine.Tick(s.now))
+	s.deliver(member, member.machine.Tick(s.Now()))
 	for _, run := range pending {
 		run()
 	}
@@ -296,10 +241,10 @@
 // RunUntil lets time pass until a condition holds and returns how long that
 // took, or false when it did not come within the limit.
 func (s *GossipSim) RunUntil(limit time.Duration, condition func() bool) (time.Duration, bool) {
-	started := s.now
-	for s.now.Sub(started) < limit {
+	started := s.Now()
+	for s.Now().Sub(started) < limit {
 		if condition() {
-			return s.now.Sub(started), true
+			return s.Now().Sub(started), true
 		}
 		s.Run(s.config.Interval / 20)
 	}
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -78,6 +78,10 @@
 	started   int
 }
 
+// startPause is the time between two starts. All at once would need more open
+// files than one program may have.
+const startPause = 30 * time.Millisecond
+
 // MeasureHollow runs one size.
 func MeasureHollow(ctx context.Context, config HollowConfig) (HollowFigures, error) {
 	h := &hollowMesh{config: config, platform: consul.NewServer()}
@@ -91,6 +95,9 @@
 		if err := h.add(); err != nil {
 			return figures, err
 		}
+		if err := h.wait(ctx, startPause); err != nil {
+			return figures, err
+		}
 	}
 	if err := waitFor(ctx, "all processes to know each other", h.settled); err != nil {
 		return figures, err
--- a/kernel/control.go
+++ b/kernel/control.go
@@ -26,7 +26,7 @@
 const (
 	maximumControlClients = 2048
 	controlDialTimeout    = time.Second
-	controlIdleTimeout    = time.Second
+	controlIdleTimeout    = 300 * time.Millisecond
 	controlIdleConns      = 16
 )
 
