The bound on an attempt ends when its answer begins; answers flow as they come

Cause: the time for one attempt also bounded its body, so that a long download was cut; and bodies of known length were held back until a buffer was full, so that the first bytes of a slow answer came with the last ones. The second fault hid the first: the attempt ended before any header came and was repeated. Change: a timer bounds the attempt until its answer begins; what was read is flushed unless the body is whole. Test first, with flushing only: 'unexpected EOF' for GET and POST. After: both pass. Tables for the retry plug-in.

--- a/internal/lab/mesh_test.go
+++ b/internal/lab/mesh_test.go
@@ -352,3 +352,18 @@
 	group.Wait()
 	is.Equal(failures, []string{})
 }
+
+// TestAnAnswerMayTakeLongerThanAnAttempt: the bound on an attempt ends when the
+// answer begins.
+func TestAnAnswerMayTakeLongerThanAnAttempt(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			mesh := startTestMesh(t, MeshConfig{Graph: chainOf(1, 1), Backends: 2, Gateways: 1})
+			response, body, err := ask(t.Context(), mesh, "s0", method, "/x", map[string]string{backend.HeaderBytes: "1000", backend.HeaderPause: "2500ms"}, nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(len(body), 1000)
+		})
+	}
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -22,6 +22,7 @@
 	HeaderStatus = "X-Stub-Status" // answer with this status
 	HeaderBytes  = "X-Stub-Bytes"  // answer with a body of this many bytes
 	HeaderCut    = "X-Stub-Cut"    // break the connection in the middle of the body
+	HeaderPause  = "X-Stub-Pause"  // wait this long in the middle of the body
 	HeaderDelay  = "X-Stub-Delay"  // work this much longer
 	HeaderTag    = "X-Stub-Tag"    // kept in the record and passed on to calls
 	HeaderChunks = "X-Stub-Chunks" // send the body in chunks of unknown total
@@ -303,6 +304,12 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if pause, err := time.ParseDuration(r.Header.Get(HeaderPause)); err == nil {
+		_, _ = io.WriteString(w, body[:size/2])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+		body = body[size/2:]
+	}
 	_, _ = io.WriteString(w, body)
 }
 
--- a/kernel/answer.go
+++ b/kernel/answer.go
@@ -36,20 +36,21 @@
 	}
 }
 
-// copyBody passes the body on. A body of unknown length is flushed after each
-// read, since the caller may wait for what there is.
+// copyBody passes the body on. What has been read is flushed unless the body is
+// whole, since the caller may wait for it while the rest takes its time.
 func copyBody(w http.ResponseWriter, answer *http.Response) error {
 	buffer, _ := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
-	flush := answer.ContentLength < 0
 	controller := http.NewResponseController(w)
+	passed := int64(0)
 	for {
 		n, readErr := answer.Body.Read(*buffer)
 		if n > 0 {
 			if _, err := w.Write((*buffer)[:n]); err != nil {
 				return err
 			}
-			if flush {
+			passed += int64(n)
+			if passed != answer.ContentLength {
 				_ = controller.Flush()
 			}
 		}
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -96,6 +96,11 @@
 	return r.ContentLength < 0 || r.ContentLength > replayableLimit
 }
 
+// NewBufferedBody returns a body that is in memory.
+func NewBufferedBody(data []byte) *Body {
+	return &Body{data: data, buffered: true, length: int64(len(data))}
+}
+
 // newBody takes the body of a request that the HTTP server received.
 func newBody(r *http.Request) (*Body, error) {
 	if r.ContentLength == 0 {
--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -186,8 +186,9 @@
 
 // classify turns a transport error into a numbered one.
 func (t *Transmitter) classify(ctx context.Context, err error, wrote bool) error {
-	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	cancelled := errors.Is(ctx.Err(), context.Canceled)
+	cause := context.Cause(ctx)
+	timedOut := errors.Is(cause, context.DeadlineExceeded)
+	cancelled := cause != nil && !timedOut
 	switch {
 	case !wrote && timedOut:
 		return result.Wrap(result.DeadlineTooShort, err, "no connection within the time left")
--- /dev/null
+++ b/plugin/retry/retry_test.go
@@ -0,0 +1,93 @@
+package retry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/retrybudget"
+)
+
+// attempt is how one attempt ends: with a status, or with an error.
+type attempt struct {
+	status int
+	err    error
+}
+
+func answerWith(status int) attempt { return attempt{status: status} }
+
+func failWith(code result.Code) attempt { return attempt{err: result.New(code, "test")} }
+
+func ranBefore(code result.Code) attempt {
+	return attempt{err: &result.Error{Code: code, Ran: true}}
+}
+
+func TestAttempts(t *testing.T) {
+	ok := answerWith(200)
+	cases := []struct {
+		name       string
+		repeatable bool
+		budget     int
+		attempts   []attempt // as they would come
+		made       int       // attempts that are made
+		status     int       // of the answer in the end, 0 for an error
+		notRun     bool      // the error in the end is reported as not run
+	}{
+		{"success", true, 3, []attempt{ok}, 1, 200, false},
+		{"refused by one node", false, 3, []attempt{failWith(result.Overloaded), ok}, 2, 200, false},
+		{"stopping node", false, 3, []attempt{failWith(result.Draining), ok}, 2, 200, false},
+		{"no connection", false, 3, []attempt{failWith(result.NodeRefused), ok}, 2, 200, false},
+		{"no budget", true, 0, []attempt{failWith(result.Overloaded), ok}, 1, 0, true},
+		{"the budget ends", true, 2, []attempt{failWith(result.Overloaded), failWith(result.Overloaded), failWith(result.Overloaded), ok}, 3, 0, true},
+		{"shed early is final", true, 3, []attempt{failWith(result.ShedEarly), ok}, 1, 0, true},
+		{"no time left is final", true, 3, []attempt{failWith(result.DeadlineTooShort), ok}, 1, 0, true},
+		{"lost connection, repeatable", true, 3, []attempt{failWith(result.ConnectionLost), ok}, 2, 200, false},
+		{"lost connection, claimed", false, 3, []attempt{failWith(result.ConnectionLost), ok}, 2, 200, false},
+		{"the first run is not known", false, 3, []attempt{failWith(result.AlreadyClaimed), ok}, 1, 0, false},
+		{"back end is overloaded, repeatable", true, 3, []attempt{answerWith(503), ok}, 2, 200, false},
+		{"back end is overloaded, not repeatable", false, 3, []attempt{answerWith(503), ok}, 1, 503, false},
+		{"back end fails", true, 3, []attempt{answerWith(500), ok}, 1, 500, false},
+		{"refused after a lost connection", true, 1, []attempt{failWith(result.ConnectionLost), failWith(result.Overloaded)}, 2, 0, false},
+		{"refused, but a node tried before", false, 0, []attempt{ranBefore(result.Overloaded)}, 1, 0, false},
+		{"caller cancelled", true, 3, []attempt{failWith(result.CallerCancelled), ok}, 1, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &retrier{process: &kernel.Process{}, ratios: map[string]*retrybudget.Ratio{}}
+			made := 0
+			handler := r.middleware(kernel.HandlerFunc(func(*kernel.Call) (*kernel.Answer, error) {
+				next := c.attempts[made]
+				made++
+				if next.err != nil {
+					return nil, next.err
+				}
+				return &kernel.Answer{Response: &http.Response{StatusCode: next.status, Body: http.NoBody, Header: http.Header{}}}, nil
+			}))
+			call := &kernel.Call{
+				Context:  context.Background(),
+				Body:     kernel.NewBufferedBody(nil),
+				Budget:   retrybudget.Open(c.budget),
+				Deadline: time.Now().Add(time.Minute),
+				Policy:   policy.Effective{Repeatable: c.repeatable, RetryRatio: 1},
+			}
+			answer, err := handler.Handle(call)
+			is.Equal(made, c.made)
+			if c.status != 0 {
+				is.NoErr(err)
+				is.Equal(answer.StatusCode, c.status)
+				return
+			}
+			var typed *result.Error
+			is.True(errors.As(err, &typed))
+			is.Equal(typed.NotRun(), c.notRun)
+		})
+	}
+}
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -156,10 +156,12 @@
 	if call.Execution != nil {
 		call.Execution.BeginChild(started)
 	}
-	ctx, cancel := r.attemptContext(call, balancer, target)
+	ctx, cancel := context.WithCancelCause(call.Context)
+	bounded := r.boundAttempt(call, balancer, target, cancel)
 	response, err := r.transmitter.Send(ctx, call, target.Address, header)
+	bounded.Stop() // the answer itself may take as long as the deadline allows
 	finish := func(outcome balance.Outcome) {
-		cancel()
+		cancel(nil)
 		now := time.Now()
 		balancer.Done(now, target.ID, now.Sub(started), outcome)
 		if call.Execution != nil {
@@ -189,19 +191,20 @@
 	claimedAttemptTime = 2 * time.Second        // at least, for a call that may not be repeated
 )
 
-// attemptContext bounds one attempt of a call that can be sent again, so that a
-// node that hangs leaves time for another. A call that may not be repeated goes
-// on at its node; the next attempt finds its claim and waits for its answer.
-func (r *router) attemptContext(call *kernel.Call, balancer *balance.Balancer, target balance.Target) (context.Context, context.CancelFunc) {
-	if !call.Body.Replayable() || call.Budget.Left() == 0 || balancer.Size() < 2 {
-		return context.WithCancel(call.Context)
-	}
-	least := minimumAttemptTime
-	if !call.Policy.Repeatable {
-		least = claimedAttemptTime
+// boundAttempt ends one attempt of a call that can be sent again when its answer
+// does not begin in time, so that a node that hangs leaves time for another. A
+// call that may not be repeated goes on at its node; the next attempt finds its
+// claim and waits for its answer.
+func (r *router) boundAttempt(call *kernel.Call, balancer *balance.Balancer, target balance.Target, cancel context.CancelCauseFunc) *time.Timer {
+	limit := time.Until(call.Deadline)
+	if call.Body.Replayable() && call.Budget.Left() > 0 && balancer.Size() > 1 {
+		least := minimumAttemptTime
+		if !call.Policy.Repeatable {
+			least = claimedAttemptTime
+		}
+		limit = min(limit, max(attemptLatencies*balancer.Latency(target.ID), least))
 	}
-	limit := max(attemptLatencies*balancer.Latency(target.ID), least)
-	return context.WithTimeout(call.Context, limit)
+	return time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
 }
 
 // outcomeOf decides whether a failed attempt speaks against the node.
