--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -116,3 +117,13 @@
 		balancer.Done(epoch, target.ID, time.Millisecond, Answered)
 	}
 }
+
+func ExampleBalancer() {
+	now := time.Unix(0, 0)
+	balancer := New(Config{Region: "north", Zone: "north-1"})
+	balancer.Update(now, []Target{{ID: "node", Address: "127.0.0.1:7000", Region: "north", Zone: "north-1"}})
+	target, found := balancer.Pick(now, "sales GET /", 512, nil)
+	fmt.Println(target.Address, found)
+	balancer.Done(now, target.ID, 3*time.Millisecond, Answered)
+	// Output: 127.0.0.1:7000 true
+}
--- a/plugin/identity/setup.go
+++ b/plugin/identity/setup.go
@@ -55,28 +55,25 @@
 // Without one, a call of a back end is named after the execution that makes
 // it: the same call of a repeated execution gets the same key.
 func identify(call *kernel.Call) {
-	_, buffered := call.Body.Buffered()
 	target := call.URL.RequestURI()
-	if key := call.Header.Get(wire.HeaderIdempotencyKey); key != "" {
-		call.ClaimKey = claims.NewKey(kindGiven, call.Service, call.Method, target, key, call.Header.Get("Authorization"))
-		return
-	}
-	if call.Execution == nil || !buffered {
+	_, buffered := call.Body.Buffered()
+	given := call.Header.Get(wire.HeaderIdempotencyKey)
+	switch {
+	case given != "":
+		call.ClaimKey = claims.NewKey(kindGiven, call.Service, call.Method, target, given, call.Header.Get("Authorization"))
+	case call.Execution == nil:
 		call.ClaimKey = claims.NewKey(kindDerived, call.Request, call.Service, call.Method, target)
-		if call.Execution != nil {
-			call.ClaimKey = streamedKey(call, target)
-		}
-		return
+	case buffered:
+		call.ClaimKey = executionKey(call, target, strconv.FormatUint(call.Fingerprint, 16))
+	default: // the length has to stand for the content
+		call.ClaimKey = executionKey(call, target, "streamed "+call.Header.Get("Content-Length"))
 	}
-	content := xxhash.Sum64String(call.Service+" "+call.Method+" "+target) ^ call.Fingerprint
-	ordinal := call.Execution.Ordinal(content)
-	call.ClaimKey = claims.NewKey(kindDerived, call.Execution.Identity, call.Service, call.Method, target,
-		strconv.FormatUint(call.Fingerprint, 16), strconv.Itoa(ordinal))
 }
 
-// streamedKey names a call whose body is not in memory by its length and order.
-func streamedKey(call *kernel.Call, target string) claims.Key {
-	length := call.Header.Get("Content-Length")
-	ordinal := call.Execution.Ordinal(xxhash.Sum64String(call.Service + " " + call.Method + " " + target + " " + length))
-	return claims.NewKey(kindDerived, call.Execution.Identity, call.Service, call.Method, target, length, strconv.Itoa(ordinal))
+// executionKey names a call after the execution that makes it, its content and
+// how many calls of the same content came before.
+func executionKey(call *kernel.Call, target, content string) claims.Key {
+	kind := xxhash.Sum64String(call.Service + " " + call.Method + " " + target + " " + content)
+	ordinal := call.Execution.Ordinal(kind)
+	return claims.NewKey(kindDerived, call.Execution.Identity, call.Service, call.Method, target, content, strconv.Itoa(ordinal))
 }
