--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -40,6 +40,9 @@
 	Edits      int // edits of the policy tree to time
 	Deaths     int // crashes to time
 	Entries    int // entries of the policy tree
+	// StartPause is the time between two starts. All at once would need more
+	// open files than one program may have.
+	StartPause time.Duration
 }
 
 // Cost is what control costs one process.
@@ -78,10 +81,6 @@
 	started   int
 }
 
-// startPause is the time between two starts. All at once would need more open
-// files than one program may have.
-const startPause = 30 * time.Millisecond
-
 // MeasureHollow runs one size.
 func MeasureHollow(ctx context.Context, config HollowConfig) (HollowFigures, error) {
 	h := &hollowMesh{config: config, platform: consul.NewServer()}
@@ -95,7 +94,7 @@
 		if err := h.add(); err != nil {
 			return figures, err
 		}
-		if err := h.wait(ctx, startPause); err != nil {
+		if err := h.wait(ctx, config.StartPause); err != nil {
 			return figures, err
 		}
 	}
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -21,6 +21,10 @@
 	"github.com/loomcleat/loomcleat/settings"
 )
 
+// The HTTP framework logs through one logger for the whole program. Here it is
+// switched off; programs that want its messages call daemon.UseLibraryLog.
+func init() { daemon.UseLibraryLog(event.Discard()) }
+
 // MeshConfig describes a mesh.
 type MeshConfig struct {
 	// Graph is the call graph; each of its services gets Backends back ends.
--- a/internal/labcli/capacity.go
+++ b/internal/labcli/capacity.go
@@ -26,6 +26,7 @@
 	Edits      int           `help:"Edits to time." default:"5"`
 	Deaths     int           `help:"Crashes to time." default:"2"`
 	Entries    int           `help:"Entries of the policy tree." default:"200"`
+	StartPause time.Duration `help:"Time between two starts." default:"30ms"`
 	Timeout    time.Duration `help:"Bound on each size." default:"3m"`
 	JSON       bool          `help:"One JSON object a size."`
 }
@@ -41,7 +42,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 		figures, err := lab.MeasureHollow(ctx, lab.HollowConfig{
 			Processes: size, Regions: c.Regions, Zones: c.Zones, Services: c.Services, Interval: c.Interval,
-			Quiet: c.Quiet, Churn: c.Churn, ChurnEvery: c.ChurnEvery, Edits: c.Edits, Deaths: c.Deaths, Entries: c.Entries,
+			Quiet: c.Quiet, Churn: c.Churn, ChurnEvery: c.ChurnEvery, Edits: c.Edits, Deaths: c.Deaths, Entries: c.Entries, StartPause: c.StartPause,
 		})
 		cancel()
 		if err != nil {
--- a/kernel/loop.go
+++ b/kernel/loop.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// Ask runs a question on the control loop and returns its answer. When the caller
+// stops waiting, the question may still run; its answer is then dropped. That is
+// why a Task given to Do must not write to variables that its caller reads.
+func Ask[T any](ctx context.Context, loop *Loop, question func(now time.Time) T) (T, error) {
+	answers := make(chan T, 1)
+	if err := loop.Do(ctx, func(now time.Time) { answers <- question(now) }); err != nil {
+		var none T
+		return none, err
+	}
+	return <-answers, nil
+}
+
 // run runs the loop until ctx ends.
 func (l *Loop) run(ctx context.Context) {
 	defer close(l.done)
--- a/plugin/configsync/peers.go
+++ b/plugin/configsync/peers.go
@@ -51,9 +51,9 @@
 		result.New(result.NotFound, "there is no document %q", r.PathValue("name")).WriteHTTP(w)
 		return
 	}
-	answer := wire.Document{Confirmed: s.confirmed.Load()}
-	err := s.process.Loop.Do(r.Context(), func(time.Time) {
-		answer.Revision, answer.Data = d.keeper.Revision(), d.keeper.Data()
+	confirmed := s.confirmed.Load()
+	answer, err := kernel.Ask(r.Context(), s.process.Loop, func(time.Time) wire.Document {
+		return wire.Document{Revision: d.keeper.Revision(), Data: d.keeper.Data(), Confirmed: confirmed}
 	})
 	if err != nil {
 		result.From(err).WriteHTTP(w)
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -147,10 +147,10 @@
 	if !kernel.ReadJSON(w, r, &envelope) {
 		return
 	}
-	var reply membership.Message
-	err := m.process.Loop.Do(r.Context(), func(now time.Time) {
-		reply = m.machine.Receive(now, envelope.Membership)
+	reply, err := kernel.Ask(r.Context(), m.process.Loop, func(now time.Time) membership.Message {
+		answer := m.machine.Receive(now, envelope.Membership)
 		m.publish(now)
+		return answer
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -165,12 +165,13 @@
 
 // probeFor repeats a probe on behalf of another process.
 func (m *mesh) probeFor(target string) bool {
-	message := make(chan membership.Message, 1)
-	err := m.process.Loop.Do(context.Background(), func(time.Time) { message <- m.machine.PingMessage() })
+	message, err := kernel.Ask(context.Background(), m.process.Loop, func(time.Time) membership.Message {
+		return m.machine.PingMessage()
+	})
 	if err != nil {
 		return false
 	}
-	_, err = m.ask(target, <-message, m.timeout)
+	_, err = m.ask(target, message, m.timeout)
 	return err == nil
 }
 
--- a/plugin/once/groups.go
+++ b/plugin/once/groups.go
@@ -28,8 +28,8 @@
 // replica, until it votes there.
 func (o *once) collectClaims(ctx context.Context) {
 	for {
-		var fetches []claims.Fetch
-		if o.process.Loop.Do(ctx, func(time.Time) { fetches = o.replica.Fetches() }) != nil {
+		fetches, err := kernel.Ask(ctx, o.process.Loop, func(time.Time) []claims.Fetch { return o.replica.Fetches() })
+		if err != nil {
 			return
 		}
 		o.fetchAll(ctx, fetches)
@@ -87,13 +87,14 @@
 	if !kernel.ReadJSON(w, r, &request) {
 		return
 	}
-	var reply wire.HandOverReply
-	err := o.process.Documents.Offer(r.Context(), wire.DocumentGroups, request.Document)
-	if err == nil {
-		err = o.process.Loop.Do(r.Context(), func(now time.Time) {
-			reply.Claims, reply.OK = o.replica.HandOver(now, request.Group, request.Epoch)
-		})
+	if err := o.process.Documents.Offer(r.Context(), wire.DocumentGroups, request.Document); err != nil {
+		result.From(err).WriteHTTP(w)
+		return
 	}
+	reply, err := kernel.Ask(r.Context(), o.process.Loop, func(now time.Time) wire.HandOverReply {
+		handed, ok := o.replica.HandOver(now, request.Group, request.Epoch)
+		return wire.HandOverReply{OK: ok, Claims: handed}
+	})
 	if err != nil {
 		result.From(err).WriteHTTP(w)
 		return
@@ -112,16 +113,15 @@
 }
 
 func (o *once) status(ctx context.Context) (wire.ClaimStatus, error) {
-	var status wire.ClaimStatus
-	err := o.process.Loop.Do(ctx, func(time.Time) {
-		status.Revision = o.replica.Revision()
+	return kernel.Ask(ctx, o.process.Loop, func(time.Time) wire.ClaimStatus {
+		status := wire.ClaimStatus{Revision: o.replica.Revision()}
 		for i := range o.replica.Groups() {
 			if o.replica.Votes(i) {
 				status.Voting = append(status.Voting, i)
 			}
 		}
+		return status
 	})
-	return status, err
 }
 
 // voting counts, for each group, the replicas that vote at the epoch of the
--- a/plugin/once/replicas.go
+++ b/plugin/once/replicas.go
@@ -58,14 +58,9 @@
 
 // ask asks the replica of this process.
 func (o *once) ask(ctx context.Context, request wire.ClaimRequest) (claims.Reply, error) {
-	replies := make(chan claims.Reply, 1)
-	err := o.process.Loop.Do(ctx, func(now time.Time) {
-		replies <- o.replica.Ask(now, request.Group, request.Epoch, request.Claim)
+	return kernel.Ask(ctx, o.process.Loop, func(now time.Time) claims.Reply {
+		return o.replica.Ask(now, request.Group, request.Epoch, request.Claim)
 	})
-	if err != nil {
-		return claims.Reply{}, err
-	}
-	return <-replies, nil
 }
 
 // withdraw removes the claim of a run that has not run, as far as the replicas
--- a/plugin/once/seats.go
+++ b/plugin/once/seats.go
@@ -67,12 +67,9 @@
 // handOverPlaces gives each place of this process to another one. A place whose
 // transfer fails is lost until the next epoch.
 func (o *once) handOverPlaces(ctx context.Context) {
-	var places []claims.Seat
-	if o.process.Loop.Do(ctx, func(time.Time) { places = o.replica.Places() }) != nil {
-		return
-	}
+	places, err := kernel.Ask(ctx, o.process.Loop, func(time.Time) []claims.Seat { return o.replica.Places() })
 	document := o.groups.Load()
-	if document == nil || len(places) == 0 {
+	if err != nil || document == nil || len(places) == 0 {
 		return
 	}
 	data, err := document.Encode()
@@ -114,12 +111,14 @@
 }
 
 func (o *once) handOverPlace(ctx context.Context, place claims.Seat, successor claims.Process, document []byte) {
-	request := wire.SeatRequest{Seat: place, Document: document}
-	given := false
-	err := o.process.Loop.Do(ctx, func(now time.Time) {
-		request.Claims, given = o.replica.GiveSeat(now, place)
+	request, err := kernel.Ask(ctx, o.process.Loop, func(now time.Time) *wire.SeatRequest {
+		handed, ok := o.replica.GiveSeat(now, place)
+		if !ok {
+			return nil
+		}
+		return &wire.SeatRequest{Seat: place, Claims: handed, Document: document}
 	})
-	if err != nil || !given {
+	if err != nil || request == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
@@ -127,7 +126,7 @@
 	var reply wire.SeatReply
 	// Only this successor may be asked: whether it has taken the place is not
 	// known when its answer is lost.
-	_ = o.process.Control.Invoke(ctx, successor.Control, http.MethodPost, wire.PathSeat, &request, &reply)
+	_ = o.process.Control.Invoke(ctx, successor.Control, http.MethodPost, wire.PathSeat, request, &reply)
 }
 
 // serveSeat takes a place over.
@@ -136,14 +135,15 @@
 	if !kernel.ReadJSON(w, r, &request) {
 		return
 	}
-	var reply wire.SeatReply
-	err := o.process.Documents.Offer(r.Context(), wire.DocumentGroups, request.Document)
-	if err == nil {
-		err = o.process.Loop.Do(r.Context(), func(now time.Time) {
-			reply.OK = o.replica.TakeSeat(now, request.Seat, request.Claims)
-			o.announceSeats()
-		})
+	if err := o.process.Documents.Offer(r.Context(), wire.DocumentGroups, request.Document); err != nil {
+		result.From(err).WriteHTTP(w)
+		return
 	}
+	reply, err := kernel.Ask(r.Context(), o.process.Loop, func(now time.Time) wire.SeatReply {
+		taken := o.replica.TakeSeat(now, request.Seat, request.Claims)
+		o.announceSeats()
+		return wire.SeatReply{OK: taken}
+	})
 	if err != nil {
 		result.From(err).WriteHTTP(w)
 		return
