--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -61,8 +62,21 @@
 	})
 }
 
+// gcPercent makes the garbage collector run when the heap has grown to five
+// times what was live, instead of twice. The live heap of a process is a few MB,
+// so that this costs little memory; it shortens the slowest calls.
+const gcPercent = 400
+
+// tuneGarbageCollector sets gcPercent unless the environment sets GOGC.
+func tuneGarbageCollector() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+}
+
 // Run runs a process until it is told to stop by SIGTERM or SIGINT.
 func Run(s settings.Settings) error {
+	tuneGarbageCollector()
 	log := NewLogger(s, os.Stderr)
 	UseLibraryLog(log)
 	process, err := Open(s, log)
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -137,7 +137,7 @@
 	}
 	wire.RemoveInternal(call.Header)
 	call.External = true
-	p.grant(call, policy.Class(call.Policy.Class), call.Policy.RetryBudget)
+	p.grant(call, call.Policy.Class, call.Policy.RetryBudget)
 	return call, nil
 }
 
