--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -261,11 +261,12 @@
 	eventually(t, "the restarted gateway to learn the policy from its peers", has(restarted))
 
 	alone := newCluster(t, twoServiceGraph)
-	alone.settings(fastSettings)
+	alone.settings(fastSettings + "seeds: [127.0.0.1:1]\n")
 	alone.platform.SetFaults(consul.Faults{Down: true})
 	gateway := alone.addGateway()
 	eventually(t, "the process to say that the store does not answer", func() bool {
-		return strings.Contains(gateway.log.String(), "store-unreachable")
+		log := gateway.log.String()
+		return strings.Contains(log, "store-unreachable") && strings.Contains(log, "peer-unreachable")
 	})
 	got, err := call{gateway: gateway, service: "back", method: "GET", path: "/x"}.do()
 	is.NoErr(err)
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -26,7 +26,7 @@
 
 func setup(process *kernel.Process) error {
 	interval := process.Settings.ProbeInterval.Std()
-	m := &mesh{process: process, timeout: interval / 2}
+	m := &mesh{process: process, timeout: interval / 2, silent: map[string]bool{}}
 	m.machine = membership.New(membership.Config{
 		Self: membership.Member{
 			ID:      process.ID,
@@ -70,6 +70,7 @@
 	process *kernel.Process
 	machine *membership.Machine
 	timeout time.Duration
+	silent  map[string]bool // addresses whose silence has been logged
 }
 
 // SetState implements kernel.Mesh. A process that was told to stop stays
@@ -121,6 +122,7 @@
 	}
 	reply, err := m.ask(send.To, send.Message, timeout)
 	m.process.Loop.Post(func(now time.Time) {
+		m.noteSilence(send, err)
 		if err != nil {
 			m.deliver(m.machine.Failed(now, send))
 		} else {
@@ -133,6 +135,20 @@
 	}
 }
 
+// noteSilence logs once that an address at which part of the mesh may be does not
+// answer. It runs on the control loop.
+func (m *mesh) noteSilence(send membership.Send, err error) {
+	if err == nil {
+		delete(m.silent, send.To)
+		return
+	}
+	if send.Message.Kind != membership.Sync || m.silent[send.To] {
+		return
+	}
+	m.silent[send.To] = true
+	m.process.Log.Emit(event.PeerUnreachable, "address", send.To, "error", err)
+}
+
 func (m *mesh) ask(address string, message membership.Message, timeout time.Duration) (wire.Envelope, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
