--- a/internal/lab/gossip.go
+++ b/internal/lab/gossip.go
@@ -339,3 +339,38 @@
 	sort.Float64s(sorted)
 	return sorted[len(sorted)/2]
 }
+
+// FreezeFigures are what follows from a member that is paused and woken, and
+// from a cut that heals.
+type FreezeFigures struct {
+	Blamed        int     `json:"blamed"`         // suspicions and removals of others that the woken member began
+	RejoinSeconds float64 `json:"rejoin_seconds"` // from the healing of a cut until all agree
+}
+
+// MeasureFreeze pauses members one after the other, then cuts the mesh in halves
+// and heals it.
+func MeasureFreeze(config GossipConfig, trials int, pause, cut time.Duration) FreezeFigures {
+	var figures FreezeFigures
+	s := NewGossipSim(config)
+	s.RunUntil(5*time.Minute, s.Agree)
+	for trial := range trials {
+		frozen := s.members[1+trial]
+		s.Freeze(1 + trial)
+		s.Run(pause)
+		woken := s.Elapsed()
+		s.Wake(1 + trial)
+		s.Run(10 * config.Interval)
+		for _, change := range s.Changes {
+			if change.At >= woken && change.Observer == frozen.id && change.Member != frozen.id && change.Status != membership.Alive {
+				figures.Blamed++
+			}
+		}
+		s.RunUntil(5*time.Minute, s.Agree)
+	}
+	s.Cut(len(s.members) / 2)
+	s.Run(cut)
+	s.Heal()
+	taken, _ := s.RunUntil(10*time.Minute, s.Agree)
+	figures.RejoinSeconds = taken.Seconds()
+	return figures
+}
--- a/internal/labcli/capacity.go
+++ b/internal/labcli/capacity.go
@@ -71,7 +71,7 @@
 	Quiet  time.Duration `help:"Virtual time in which false removals are counted." default:"10m"`
 }
 
-// Run measures the arms: as shipped, and without each of the two ideas taken
+// Run measures the arms: as it is, and without the idea that was taken
 // from Lifeguard.
 func (c *gossipCommand) Run() error {
 	arms := []struct {
@@ -82,11 +82,14 @@
 		{"no suspect notice", func(config *membership.Config) { config.NoSuspectNotice = true }},
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "members\tarm\tdetect s\tknown everywhere s\tleave s\tfalse removals\tmessages/member s")
+	fmt.Fprintln(table, "members\tarm\tdetect s\tknown everywhere s\tleave s\tfalse removals\tmessages/member s\tblamed by woken\trejoin s")
 	for _, size := range c.Sizes {
 		for _, arm := range arms {
-			f := lab.MeasureGossip(lab.GossipConfig{Members: size, Seed: c.Seed, Loss: c.Loss, Slow: c.Slow, Adjust: arm.adjust}, c.Trials, c.Quiet)
-			fmt.Fprintf(table, "%d\t%s\t%.2f\t%.2f\t%.2f\t%d\t%.2f\n", f.Members, arm.name, f.DetectSeconds, f.SpreadSeconds, f.LeaveSeconds, f.False, f.Messages)
+			config := lab.GossipConfig{Members: size, Seed: c.Seed, Interval: time.Second, Loss: c.Loss, Slow: c.Slow, Adjust: arm.adjust}
+			f := lab.MeasureGossip(config, c.Trials, c.Quiet)
+			freeze := lab.MeasureFreeze(config, c.Trials, 10*time.Second, 2*time.Minute)
+			fmt.Fprintf(table, "%d\t%s\t%.2f\t%.2f\t%.2f\t%d\t%.2f\t%d\t%.1f\n", f.Members, arm.name,
+				f.DetectSeconds, f.SpreadSeconds, f.LeaveSeconds, f.False, f.Messages, freeze.Blamed, freeze.RejoinSeconds)
 		}
 	}
 	return table.Flush()
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -19,10 +19,9 @@
 // Members that were declared dead are probed now and then for an hour, so that
 // the halves of a mesh that was cut apart find each other again.
 //
-// Two ideas come from Lifeguard (Dadgar, Phillips, Currey, 2017) and are kept
-// because docs/design/membership.md shows what they bring: a suspected member is
-// told so when it sends a message, and a process that notices that it was paused
-// does not blame others for answers that it missed.
+// One idea comes from Lifeguard (Dadgar, Phillips, Currey, 2017) and is kept
+// because docs/design/membership.md shows what it brings: a suspected member is
+// told so when it sends a message.
 //
 // Machine is a state machine without I/O, goroutines or clock. The caller
 // passes the time and the messages in, and sends what Tick returns:
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -18,12 +18,10 @@
 	rumours   rumourQueue
 	rounds    int // gossip rounds still to send without updates
 	seeds     []string
-	lastTick  time.Time
 	nextProbe time.Time
 	nextTalk  time.Time
 	lastSync  time.Time
 	changed   bool
-	paused    time.Time // end of the last pause of this process
 }
 
 // record is a member with what this process keeps of it.
@@ -49,7 +47,6 @@
 		config:    config,
 		self:      config.Self,
 		members:   map[string]*record{},
-		lastTick:  now,
 		nextProbe: now,
 		nextTalk:  now,
 		changed:   true,
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -4,18 +4,9 @@
 	"time"
 )
 
-// pauseFactor times the probe interval is the gap between two ticks from which
-// on this process must have been paused. Answers to messages sent before the
-// pause then say nothing about others.
-const pauseFactor = 3
-
 // Tick does what is due at the given time and returns the messages to send. It
 // should be called a few times in each GossipInterval.
 func (m *Machine) Tick(now time.Time) []Send {
-	if !m.config.NoPauseCheck && now.Sub(m.lastTick) > pauseFactor*m.config.ProbeInterval {
-		m.resume(now)
-	}
-	m.lastTick = now
 	m.expire(now)
 	sends := []Send{}
 	if !now.Before(m.nextProbe) {
@@ -29,17 +20,6 @@
 	return sends
 }
 
-// resume gives all suspects their whole time again after a pause of this
-// process, since their contradictions may be waiting to be read.
-func (m *Machine) resume(now time.Time) {
-	m.paused = now
-	for _, known := range m.members {
-		if known.Status == Suspect {
-			known.deadline = now.Add(m.suspicionTime())
-		}
-	}
-}
-
 // expire declares suspects dead and forgets members that are dead for long.
 func (m *Machine) expire(now time.Time) {
 	for id, known := range m.members {
@@ -61,10 +41,10 @@
 func (m *Machine) startProbe(now time.Time, sends []Send) []Send {
 	if target := m.nextTarget(); target != nil {
 		started := &probe{target: target.ID, started: now}
-		sends = append(sends, m.send(now, target.Control, Ping, started))
+		sends = append(sends, m.send(target.Control, Ping, started))
 	}
 	if address := m.unknownAddress(); address != "" {
-		sends = append(sends, m.send(now, address, Sync, nil))
+		sends = append(sends, m.send(address, Sync, nil))
 	}
 	return sends
 }
@@ -145,13 +125,13 @@
 		pick := m.config.Random.IntN(len(ids))
 		target := m.members[ids[pick]]
 		ids = append(ids[:pick], ids[pick+1:]...)
-		sends = append(sends, m.send(now, target.Control, Gossip, nil))
+		sends = append(sends, m.send(target.Control, Gossip, nil))
 	}
 	return sends
 }
 
-func (m *Machine) send(now time.Time, to string, kind Kind, of *probe) Send {
-	return Send{To: to, Message: m.message(kind), probe: of, origin: now}
+func (m *Machine) send(to string, kind Kind, of *probe) Send {
+	return Send{To: to, Message: m.message(kind), probe: of}
 }
 
 // message builds a message with updates.
@@ -192,7 +172,7 @@
 	}
 	if reply.Digest != m.digest && sent.Message.Kind == Ping && now.Sub(m.lastSync) >= m.config.SyncInterval {
 		m.lastSync = now
-		return []Send{m.send(now, sent.To, Sync, nil)}
+		return []Send{m.send(sent.To, Sync, nil)}
 	}
 	return nil
 }
@@ -218,7 +198,7 @@
 // time. It returns further messages to send.
 func (m *Machine) Failed(now time.Time, sent Send) []Send {
 	current := sent.probe
-	if current == nil || current.done || sent.origin.Before(m.paused) {
+	if current == nil || current.done {
 		return nil
 	}
 	if sent.Message.Kind == Ping {
@@ -263,7 +243,7 @@
 		if id == current.target {
 			continue
 		}
-		through := m.send(now, m.members[id].Control, PingThrough, current)
+		through := m.send(m.members[id].Control, PingThrough, current)
 		through.Message.Target = target.Control
 		sends = append(sends, through)
 	}
--- a/membership/types.go
+++ b/membership/types.go
@@ -70,7 +70,6 @@
 	To      string // control address
 	Message Message
 	probe   *probe // nil unless part of a probe
-	origin  time.Time
 }
 
 // Config configures a Machine.
@@ -119,10 +118,6 @@
 	// when it sends a message. It exists to be compared against.
 	NoSuspectNotice bool
 
-	// NoPauseCheck switches off that a process that was paused distrusts what
-	// it concluded during the pause. It exists to be compared against.
-	NoPauseCheck bool
-
 	// Random is the source of random choices. Required.
 	Random *rand.Rand
 
