Places that were taken over move on when their holder stops

Cause: a stopping process handed over its own place only. When it held the place of another, it believed itself released, since the document does not name it, and ended with the place. Change: released means that no place is held at all; a place is looked up in the members' announcements also for the own id.

--- a/internal/lab/cut_test.go
+++ b/internal/lab/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/internal/standin/backend"
+	"github.com/loomcleat/loomcleat/internal/standin/consul"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
 )
@@ -100,3 +102,28 @@
 		return err == nil && response.StatusCode == http.StatusOK
 	}))
 }
+
+// TestPlacesMoveOnWithTheirHolders replaces every process twice while the store
+// is down, so that processes stop that hold the places of others.
+func TestPlacesMoveOnWithTheirHolders(t *testing.T) {
+	is := is.New(t)
+	mesh := startTestMesh(t, MeshConfig{Graph: chainOf(1, 1), Backends: 3, Gateways: 1, KeepRecords: true})
+	ctx, cancel := context.WithTimeout(t.Context(), testPatience)
+	defer cancel()
+	mesh.Platform.SetFaults(consul.Faults{Down: true})
+	for round := range 7 {
+		replacement, err := mesh.AddNode("s0")
+		is.NoErr(err)
+		is.NoErr(waitFor(ctx, "the replacement", func() bool {
+			return replacement.Process.Ready() && replacement.Process.Documents.Revisions().Groups > 0
+		}))
+		mesh.Nodes[round].Stop()
+		for payment := range 8 {
+			key := fmt.Sprint("round ", round, " payment ", payment)
+			is.NoErr(waitFor(ctx, key, func() bool { // a refusal that did not run may be repeated
+				response, _, err := pay(ctx, mesh, key, "")
+				return err == nil && response.StatusCode == http.StatusOK
+			}))
+		}
+	}
+}
--- a/plugin/once/groups.go
+++ b/plugin/once/groups.go
@@ -196,11 +196,15 @@
 	}
 }
 
-// released reports whether this process is in no group and all groups vote
-// without it.
+// released reports whether this process holds no place in any group, its own or
+// one that it took over, and all groups vote without it.
 func (o *once) released(ctx context.Context, document *claims.Groups) bool {
-	for _, replica := range document.Replicas() {
-		if replica.ID == o.self.ID {
+	places, err := kernel.Ask(ctx, o.process.Loop, func(time.Time) []claims.Seat { return o.replica.Places() })
+	if err != nil || len(places) > 0 {
+		return false
+	}
+	for _, holder := range o.holders(document) {
+		if holder.ID == o.self.ID {
 			return false
 		}
 	}
--- a/plugin/once/seats.go
+++ b/plugin/once/seats.go
@@ -44,9 +44,6 @@
 // holder returns the process that holds the place of a replica: the replica
 // itself, unless a member announces that it has taken the place over.
 func (o *once) holder(replica claims.Process, group int, epoch uint64) claims.Process {
-	if replica.ID == o.self.ID {
-		return replica
-	}
 	name := placeName(claims.Seat{Group: group, Epoch: epoch, Of: replica.ID})
 	for _, member := range *o.process.Members.Load() {
 		if member.Status == membership.Dead {
