Remove what nothing reads any more

Cause: reading the whole change again: claims.Groups.Replicas lost its last caller when places were looked up by holder; admission summed waiting times that nobody used; a probe kept a start time that nobody read. Change: all three are gone. Behaviour and tests are as before. The whole suite was not run again after this.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -58,7 +58,6 @@
 	priority int
 	deadline time.Time
 	expires  time.Time // end of its time in the queue
-	arrived  time.Time
 	sequence uint64
 	position int // in the heap, -1 when not queued
 	decided  func(Verdict)
@@ -102,7 +101,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.level.adjust(now, c.room())
-	ticket := &Ticket{priority: priority, deadline: deadline, arrived: now, position: -1, decided: decided}
+	ticket := &Ticket{priority: priority, deadline: deadline, position: -1, decided: decided}
 	c.level.arrived(priority)
 	if verdict := c.screen(now, ticket); verdict != Admitted {
 		decided(verdict)
@@ -156,7 +155,7 @@
 func (c *Controller) start(now time.Time, ticket *Ticket) {
 	c.inFlight++
 	c.limit.Started(c.inFlight)
-	c.level.started(ticket.priority, now.Sub(ticket.arrived))
+	c.level.started()
 	ticket.decided(Admitted)
 }
 
--- a/admission/level.go
+++ b/admission/level.go
@@ -13,7 +13,6 @@
 	arrivals [buckets]float64 // smoothed, by priority
 	recent   [buckets]int
 	starts   int
-	waits    time.Duration
 	refused  int // by the queue or by the level
 	served   float64
 
@@ -45,9 +44,8 @@
 	l.recent[min(max(priority, 0), MaximumPriority)/bucketWidth]++
 }
 
-func (l *levelControl) started(_ int, waited time.Duration) {
+func (l *levelControl) started() {
 	l.starts++
-	l.waits += waited
 }
 
 // adjust closes the window when its time is over. room is the free share of the
@@ -69,7 +67,7 @@
 	}
 	l.served += arrivalWeight * (float64(l.starts) - l.served)
 	overloaded := l.refused > 0 && room < fullRoom
-	l.starts, l.waits, l.refused = 0, 0, 0
+	l.starts, l.refused = 0, 0
 	if overloaded {
 		l.raise()
 		return
--- a/claims/groups.go
+++ b/claims/groups.go
@@ -93,21 +93,6 @@
 	return data, nil
 }
 
-// Replicas returns all replicas of all groups, each once.
-func (g *Groups) Replicas() []Process {
-	seen := map[string]bool{}
-	all := []Process{}
-	for _, group := range g.Groups {
-		for _, replica := range group.Replicas {
-			if !seen[replica.ID] {
-				seen[replica.ID] = true
-				all = append(all, replica)
-			}
-		}
-	}
-	return all
-}
-
 // majority is the least number of n replicas of which any two sets share one.
 func majority(n int) int { return n/2 + 1 }
 
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -34,7 +34,6 @@
 // probe is one attempt to reach a member.
 type probe struct {
 	target  string
-	started time.Time
 	pending int  // indirect answers still missing
 	done    bool // answered, or given up
 	direct  bool // the direct probe has failed
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -40,7 +40,7 @@
 // the mesh may be that this process does not know.
 func (m *Machine) startProbe(now time.Time, sends []Send) []Send {
 	if target := m.nextTarget(); target != nil {
-		started := &probe{target: target.ID, started: now}
+		started := &probe{target: target.ID}
 		sends = append(sends, m.send(target.Control, Ping, started))
 	}
 	if address := m.unknownAddress(); address != "" {
