The store's interfaces and the Consul adapter move from platform to store

Cause: platform is to hold one adapter for the users' platform and nothing else; today it holds the product's own interfaces and the Consul adapter of the demo. Ruled out: a second folder for the users' platform beside it, since two adapters under one name read as equals, and the Consul one is the product's own. Change: package platform is now store, platformtest is storetest; no behaviour changes.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -24,7 +24,7 @@
 	_ "github.com/loomcleat/loomcleat/internal/labcli" // the same; go test would take their result from its cache
 	"github.com/loomcleat/loomcleat/internal/standin/backend"
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/loomcleat/loomcleat/internal/standin/backend"
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 )
 
 const twoServiceGraph = `
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -11,10 +11,10 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/loomcleat/loomcleat/platform/consulkv"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 )
 
 type configCommand struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,9 +15,9 @@
 
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 
 	_ "github.com/loomcleat/loomcleat/plugin/all" // the whole chain
 )
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -19,10 +19,10 @@
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
 	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 )
 
 // HollowConfig configures a measurement of the cost of control. Hollow processes
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -15,10 +15,10 @@
 	"github.com/loomcleat/loomcleat/internal/standin/backend"
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
 	"github.com/loomcleat/loomcleat/kernel"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
 	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 )
 
 // The HTTP framework logs through one logger for the whole program. Here it is
--- a/internal/standin/consul/machines.go
+++ b/internal/standin/consul/machines.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/loomcleat/loomcleat/platform/consulkv"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 )
 
 // machineList keeps the catalog and the versions of it that are still to be
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -13,10 +13,10 @@
 
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/membership"
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -24,8 +24,8 @@
 type Options struct {
 	Settings settings.Settings
 	Log      *event.Logger
-	Store    platform.Store       // nil: none
-	Machines platform.MachineList // nil: none
+	Store    store.Store       // nil: none
+	Machines store.MachineList // nil: none
 	// Dial opens connections to other processes. Embedders may use it to reach
 	// them in another way, tests to cut them off. Default: a net.Dialer.
 	Dial DialFunc
@@ -68,8 +68,8 @@
 	Started  time.Time
 	Log      *event.Logger
 	Loop     *Loop
-	Store    platform.Store
-	Machines platform.MachineList
+	Store    store.Store
+	Machines store.MachineList
 	Metrics  *prometheus.Registry
 	Control  *ControlClient
 	Dial     DialFunc // nil: a net.Dialer
@@ -112,7 +112,7 @@
 // MachineState is one reading of the machine list.
 type MachineState struct {
 	At       time.Time
-	Machines []platform.Machine
+	Machines []store.Machine
 }
 
 // LiveIDs returns the ids of the members that are not dead or leaving.
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -14,11 +14,11 @@
 	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/spread"
+	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -207,7 +207,7 @@
 }
 
 // read reads the document at once, or waits for its next change.
-func (s *synchronizer) read(ctx context.Context, d *document, position uint64) (platform.Entry, error) {
+func (s *synchronizer) read(ctx context.Context, d *document, position uint64) (store.Entry, error) {
 	if position == 0 {
 		return s.process.Store.Get(ctx, d.key)
 	}
--- a/plugin/membership/machines.go
+++ b/plugin/membership/machines.go
@@ -9,8 +9,8 @@
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/spread"
+	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -51,12 +51,12 @@
 	return spread.Watches(m.process.ID, kernel.LiveIDs(*m.process.Members.Load()), machineWatches)
 }
 
-func (m *mesh) use(ctx context.Context, machines []platform.Machine) {
+func (m *mesh) use(ctx context.Context, machines []store.Machine) {
 	m.process.MachineState.Store(&kernel.MachineState{At: time.Now(), Machines: machines})
 	seeds := append([]string{}, m.process.Settings.Seeds...)
 	leaving := map[string]bool{}
 	for _, machine := range machines {
-		if machine.State == platform.MachineLeaving {
+		if machine.State == store.MachineLeaving {
 			leaving[machine.Control] = true
 		} else {
 			seeds = append(seeds, machine.Control)
--- a/plugin/once/planner.go
+++ b/plugin/once/planner.go
@@ -8,8 +8,8 @@
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/spread"
+	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -102,7 +102,7 @@
 }
 
 // offerStored takes what the store has, in case this process is behind.
-func (o *once) offerStored(ctx context.Context, entry platform.Entry) error {
+func (o *once) offerStored(ctx context.Context, entry store.Entry) error {
 	if !entry.Exists {
 		return nil
 	}
--- a/policy/editor/editor.go
+++ b/policy/editor/editor.go
@@ -14,9 +14,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store"
 )
 
 // Key is the key of the policy tree in the store.
@@ -24,19 +24,19 @@
 
 // Editor edits the policy tree.
 type Editor struct {
-	store  platform.Store
+	store  store.Store
 	author string
 	now    func() time.Time
 }
 
 // New returns an Editor that records author with each edit.
-func New(store platform.Store, author string) *Editor {
+func New(store store.Store, author string) *Editor {
 	return &Editor{store: store, author: author, now: time.Now}
 }
 
 // Read returns the tree in the store and its index. A store without a tree
 // gives an empty one at revision 0.
-func Read(ctx context.Context, store platform.Store) (*policy.Document, uint64, error) {
+func Read(ctx context.Context, store store.Store) (*policy.Document, uint64, error) {
 	entry, err := store.Get(ctx, Key)
 	if err != nil {
 		return nil, 0, err
--- a/policy/editor/editor_test.go
+++ b/policy/editor/editor_test.go
@@ -12,9 +12,9 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store/consulkv"
 )
 
 func newStore(t *testing.T) (*consul.Server, *consulkv.Client) {
--- a/platform/consulkv/client.go
+++ b/store/consulkv/client.go
@@ -30,7 +30,7 @@
 	Timeout time.Duration
 }
 
-// Client implements platform.Store and platform.MachineList.
+// Client implements store.Store and store.MachineList.
 type Client struct {
 	base    string
 	timeout time.Duration
--- a/platform/consulkv/contract_test.go
+++ b/store/consulkv/contract_test.go
@@ -8,38 +8,38 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
-	"github.com/loomcleat/loomcleat/platform"
-	"github.com/loomcleat/loomcleat/platform/consulkv"
-	"github.com/loomcleat/loomcleat/platform/platformtest"
+	"github.com/loomcleat/loomcleat/store"
+	"github.com/loomcleat/loomcleat/store/consulkv"
+	"github.com/loomcleat/loomcleat/store/storetest"
 )
 
 const clientTimeout = 300 * time.Millisecond
 
-func fresh(t *testing.T) platformtest.Subject {
+func fresh(t *testing.T) storetest.Subject {
 	stub := consul.NewServer()
 	server := httptest.NewServer(stub.Handler())
 	t.Cleanup(server.Close)
 	client := consulkv.NewClient(consulkv.Config{BaseURL: server.URL, Timeout: clientTimeout})
 	t.Cleanup(client.Close)
-	setFault := func(fault platformtest.Fault) {
+	setFault := func(fault storetest.Fault) {
 		switch fault {
-		case platformtest.Healthy:
+		case storetest.Healthy:
 			stub.SetFaults(consul.Faults{})
-		case platformtest.Down:
+		case storetest.Down:
 			stub.SetFaults(consul.Faults{Down: true})
-		case platformtest.RateLimited:
+		case storetest.RateLimited:
 			stub.SetFaults(consul.Faults{RatePerSecond: -1})
-		case platformtest.AnswerLost:
+		case storetest.AnswerLost:
 			stub.SetFaults(consul.Faults{LoseAnswers: 1})
-		case platformtest.Slow:
+		case storetest.Slow:
 			stub.SetFaults(consul.Faults{Delay: consul.Duration(time.Hour)})
 		}
 	}
-	return platformtest.Subject{Store: client, SetFault: setFault, Patience: 10 * clientTimeout}
+	return storetest.Subject{Store: client, SetFault: setFault, Patience: 10 * clientTimeout}
 }
 
 func TestStoreContract(t *testing.T) {
-	platformtest.Run(t, fresh)
+	storetest.Run(t, fresh)
 }
 
 func TestMachineList(t *testing.T) {
@@ -54,7 +54,7 @@
 	stub.Register(row)
 	machines, err := client.List(t.Context())
 	is.NoErr(err)
-	is.Equal(machines, []platform.Machine{{ID: "m1", Control: "127.0.0.1:7001", Zone: "z1", State: platform.MachineLive}})
+	is.Equal(machines, []store.Machine{{ID: "m1", Control: "127.0.0.1:7001", Zone: "z1", State: store.MachineLive}})
 
 	stub.SetFaults(consul.Faults{MachineLag: consul.Duration(time.Hour)})
 	row.ServiceMeta = map[string]string{"zone": "z1", "state": "leaving"}
--- a/platform/consulkv/machines.go
+++ b/store/consulkv/machines.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/loomcleat/loomcleat/platform"
+	"github.com/loomcleat/loomcleat/store"
 )
 
 // CatalogService is the name under which the processes of loomcleat are
@@ -30,8 +30,8 @@
 	ServiceMeta    map[string]string
 }
 
-// List implements platform.MachineList.
-func (c *Client) List(ctx context.Context) ([]platform.Machine, error) {
+// List implements store.MachineList.
+func (c *Client) List(ctx context.Context) ([]store.Machine, error) {
 	got, err := c.do(ctx, http.MethodGet, "/v1/catalog/service/"+CatalogService, nil, 0)
 	if err != nil {
 		return nil, err
@@ -40,13 +40,13 @@
 	if err := decode(got, &rows); err != nil {
 		return nil, err
 	}
-	machines := make([]platform.Machine, 0, len(rows))
+	machines := make([]store.Machine, 0, len(rows))
 	for _, row := range rows {
-		state := platform.MachineState(row.ServiceMeta[MetaState])
+		state := store.MachineState(row.ServiceMeta[MetaState])
 		if state == "" {
-			state = platform.MachineLive
+			state = store.MachineLive
 		}
-		machines = append(machines, platform.Machine{
+		machines = append(machines, store.Machine{
 			ID:      row.ServiceID,
 			Control: net.JoinHostPort(row.ServiceAddress, strconv.Itoa(row.ServicePort)),
 			Zone:    row.ServiceMeta[MetaZone],
--- a/platform/consulkv/store.go
+++ b/store/consulkv/store.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store"
 )
 
 // pair is a row of GET /v1/kv.
@@ -30,13 +30,13 @@
 	return target
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
 	return c.read(ctx, key, url.Values{"consistent": {""}}, 0)
 }
 
-// Watch implements platform.Store by a blocking query.
-func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
+// Watch implements store.Store by a blocking query.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Entry, error) {
 	query := url.Values{
 		"index": {strconv.FormatUint(after, 10)},
 		"wait":  {fmt.Sprintf("%dms", wait.Milliseconds())},
@@ -44,29 +44,29 @@
 	return c.read(ctx, key, query, wait+wait/16)
 }
 
-func (c *Client) read(ctx context.Context, key string, query url.Values, extra time.Duration) (platform.Entry, error) {
+func (c *Client) read(ctx context.Context, key string, query url.Values, extra time.Duration) (store.Entry, error) {
 	got, err := c.do(ctx, http.MethodGet, keyPath(key, query), nil, extra)
 	if err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	position, err := strconv.ParseUint(got.header.Get("X-Consul-Index"), 10, 64)
 	if err != nil {
-		return platform.Entry{}, result.Wrap(result.StoreUnavailable, err, "the store's answer has no index")
+		return store.Entry{}, result.Wrap(result.StoreUnavailable, err, "the store's answer has no index")
 	}
 	if got.status == http.StatusNotFound {
-		return platform.Entry{Watch: position}, nil
+		return store.Entry{Watch: position}, nil
 	}
 	var pairs []pair
 	if err := decode(got, &pairs); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	if len(pairs) != 1 {
-		return platform.Entry{}, result.New(result.StoreUnavailable, "the store answered with %d rows for one key", len(pairs))
+		return store.Entry{}, result.New(result.StoreUnavailable, "the store answered with %d rows for one key", len(pairs))
 	}
-	return platform.Entry{Value: pairs[0].Value, Index: pairs[0].ModifyIndex, Exists: true, Watch: position}, nil
+	return store.Entry{Value: pairs[0].Value, Index: pairs[0].ModifyIndex, Exists: true, Watch: position}, nil
 }
 
-// CompareAndSwap implements platform.Store.
+// CompareAndSwap implements store.Store.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
 	return c.write(ctx, keyPath(key, url.Values{"cas": {strconv.FormatUint(index, 10)}}), value)
 }
@@ -107,8 +107,8 @@
 	ID string
 }
 
-// AcquireLease implements platform.Store by a session with a time to live.
-func (c *Client) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, bool, error) {
+// AcquireLease implements store.Store by a session with a time to live.
+func (c *Client) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (store.Lease, bool, error) {
 	body, err := json.Marshal(sessionRequest{Name: holder, TTL: ttl.String(), LockDelay: "0s", Behavior: "delete"})
 	if err != nil {
 		return nil, false, result.Wrap(result.Internal, err, "encoding a session")
@@ -130,7 +130,7 @@
 	return held, true, nil
 }
 
-// Renew implements platform.Lease.
+// Renew implements store.Lease.
 func (l *lease) Renew(ctx context.Context) (bool, error) {
 	got, err := l.client.do(ctx, http.MethodPut, "/v1/session/renew/"+l.session, nil, 0)
 	if err != nil {
@@ -139,7 +139,7 @@
 	return got.status != http.StatusNotFound, nil
 }
 
-// Release implements platform.Lease.
+// Release implements store.Lease.
 func (l *lease) Release(ctx context.Context) error {
 	return l.destroy(ctx)
 }
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,11 +1,11 @@
-// Package platform defines what loomcleat needs from the platform it runs on:
+// Package store defines what loomcleat needs from the platform it runs on:
 // a key-value store with compare-and-swap, leases and watches, and a list of
 // machines. Adapters implement the interfaces; each adapter must pass the
-// contract test in package platformtest.
+// contract test in package storetest.
 //
 // Both services may be slow, rate-limited or down for long. An answer may be
 // lost after a write has taken effect. The machine list lags.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platformtest/contract.go
+++ b/store/storetest/contract.go
@@ -1,6 +1,6 @@
-// Package platformtest is the contract test of package platform. Each adapter
+// Package storetest is the contract test of package store. Each adapter
 // runs it against its service or a stand-in of it.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store"
 )
 
 // Fault is a way in which the service under test can be made to fail.
@@ -30,7 +30,7 @@
 
 // Subject is one fresh service with an adapter.
 type Subject struct {
-	Store platform.Store
+	Store store.Store
 	// SetFault puts a fault in force.
 	SetFault func(Fault)
 	// Patience is the longest that a call may take when the service is Slow.
@@ -165,7 +165,7 @@
 	unchanged, err := s.Store.Watch(ctx, "contract/watch", entry.Watch, 20*time.Millisecond)
 	is.NoErr(err)
 	is.Equal(unchanged.Index, entry.Index)
-	seen := make(chan platform.Entry, 1)
+	seen := make(chan store.Entry, 1)
 	go func() {
 		changed, watchErr := s.Store.Watch(ctx, "contract/watch", entry.Watch, 30*time.Second)
 		if watchErr == nil {
