--- a/event/events.go
+++ b/event/events.go
@@ -31,13 +31,15 @@
 
 // Events of membership.
 const (
-	MemberJoined    Number = 300
-	MemberSuspected Number = 301
-	MemberDead      Number = 302
-	MemberLeaving   Number = 303
-	SelfRefuted     Number = 304
-	PeerUnreachable Number = 305
-	MachineListDown Number = 306
+	MemberJoined        Number = 300
+	MemberSuspected     Number = 301
+	MemberDead          Number = 302
+	MemberLeaving       Number = 303
+	SelfRefuted         Number = 304
+	PeerUnreachable     Number = 305
+	MachineListDown     Number = 306
+	Registered          Number = 307
+	RegistryUnreachable Number = 308
 )
 
 // Events of request traffic.
@@ -50,6 +52,8 @@
 	AnswerMismatch    Number = 405
 	RequestPanic      Number = 406
 	AdmissionLevelSet Number = 407
+	InstanceChanged   Number = 408
+	HeartbeatRefused  Number = 409
 )
 
 // Events of at-most-once claims.
@@ -92,6 +96,8 @@
 	{SelfRefuted, "self-refuted", "warn", "This process learned that it was suspected and announced that it is alive."},
 	{PeerUnreachable, "peer-unreachable", "warn", "A seed address did not answer; it is tried again."},
 	{MachineListDown, "machine-list-down", "warn", "The machine list does not answer; members known so far are kept."},
+	{Registered, "registered", "info", "This process has entered itself where others look for members."},
+	{RegistryUnreachable, "registry-unreachable", "warn", "This process could not enter or remove itself where others look for members; entering is tried again."},
 	{BackendDown, "backend-down", "warn", "The back end beside this node refuses connections."},
 	{BackendUp, "backend-up", "info", "The back end beside this node accepts connections again."},
 	{BackendDraining, "backend-draining", "info", "The back end beside this node said that it is draining."},
@@ -100,6 +106,8 @@
 	{AnswerMismatch, "answer-mismatch", "error", "An answer did not carry the identity of its request; the connection was closed."},
 	{RequestPanic, "request-panic", "error", "A request handler panicked; the request failed and the process goes on."},
 	{AdmissionLevelSet, "admission-level-set", "info", "The admission level of this node entered or left the state of overload."},
+	{InstanceChanged, "instance-changed", "info", "The back end beside this node is another incarnation now, or none is known."},
+	{HeartbeatRefused, "heartbeat-refused", "warn", "A heartbeat that is not of the back end beside this node was not acknowledged."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,93 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+const second = time.Second
+
+// step is one event at a time after the start.
+type step struct {
+	at       time.Duration
+	id       string
+	sequence uint64
+	draining bool
+	goodbye  bool   // Leave instead of a heartbeat
+	found    string // another incarnation answered a request for id
+}
+
+func play(tracker *Tracker, steps []step) {
+	for _, s := range steps {
+		now := start.Add(s.at)
+		switch {
+		case s.goodbye:
+			tracker.Leave(now, s.id)
+		case s.found != "":
+			tracker.Found(s.id, s.found)
+		default:
+			_ = tracker.Observe(now, Report{ID: s.id, Service: "s", Slots: 4, Sequence: s.sequence, Draining: s.draining})
+		}
+	}
+}
+
+func TestTracker(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps []step
+		at    time.Duration
+		id    string
+		open  bool
+	}{
+		{"nothing is known", nil, 0, "", false},
+		{"ready", []step{{id: "a", sequence: 1}}, second, "a", true},
+		{"draining is served for a while", []step{{id: "a", sequence: 1}, {id: "a", sequence: 2, draining: true}}, second / 2, "a", true},
+		{"and then closed", []step{{id: "a", sequence: 1}, {id: "a", sequence: 2, draining: true}}, second, "a", false},
+		{"a repeated announcement does not move the time",
+			[]step{{id: "a", sequence: 1, draining: true}, {at: second, id: "a", sequence: 2, draining: true}}, second, "a", false},
+		{"a late heartbeat does not open it again",
+			[]step{{id: "a", sequence: 3, draining: true}, {id: "a", sequence: 2}}, second, "a", false},
+		{"nor does a later one", []step{{id: "a", sequence: 3, draining: true}, {id: "a", sequence: 4}}, second, "a", false},
+		{"goodbye", []step{{id: "a", sequence: 1}, {id: "a", goodbye: true}}, second, "a", false},
+		{"the goodbye of an earlier incarnation", []step{{id: "a", sequence: 1}, {id: "b", sequence: 1}, {id: "a", goodbye: true}}, second, "b", true},
+		{"a new incarnation after a draining one", []step{{id: "a", sequence: 9, draining: true}, {id: "b", sequence: 1}}, second, "b", true},
+		{"a late heartbeat of the earlier incarnation",
+			[]step{{id: "a", sequence: 9}, {id: "b", sequence: 1}, {id: "a", sequence: 9}}, second, "b", true},
+		{"another incarnation answered", []step{{id: "a", sequence: 9}, {id: "a", found: "b"}}, second, "", false},
+		{"and reports", []step{{id: "a", sequence: 9}, {id: "a", found: "b"}, {id: "b", sequence: 1}}, second, "b", true},
+		{"an old answer after the change", []step{{id: "a", sequence: 9}, {id: "b", sequence: 1}, {id: "a", found: "c"}}, second, "b", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := NewTracker(Config{Service: "s"})
+			play(tracker, c.steps)
+			state := tracker.State()
+			is.Equal(state.ID, c.id)
+			is.Equal(state.Open(start.Add(c.at)), c.open)
+		})
+	}
+}
+
+func TestReportsOfOthersAreRefused(t *testing.T) {
+	cases := []struct {
+		name   string
+		report Report
+	}{
+		{"no id", Report{Service: "s", Address: "h:1"}},
+		{"another service", Report{ID: "a", Service: "t", Address: "h:1"}},
+		{"another address", Report{ID: "a", Service: "s", Address: "h:2"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := NewTracker(Config{Service: "s", Address: "h:1"})
+			is.True(tracker.Observe(start, c.report) != nil)
+			is.Equal(tracker.State().ID, "")
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/settings"
 	"github.com/loomcleat/loomcleat/store/consulkv"
@@ -43,6 +44,10 @@
 
 func open(options kernel.Options) (*kernel.Process, error) {
 	s := options.Settings
+	if s.StoreAPI == settings.StorePlatform {
+		usePlatform(&options)
+		return kernel.New(options)
+	}
 	if s.Store != "" {
 		options.Store = consulkv.NewClient(consulkv.Config{BaseURL: s.Store})
 	}
@@ -52,6 +57,16 @@
 	return kernel.New(options)
 }
 
+// usePlatform connects a process to the users' platform.
+func usePlatform(options *kernel.Options) {
+	client := platform.NewClient(platform.Config{Address: options.Settings.Store})
+	options.Store = client
+	options.Machines = client
+	options.Registry = client
+	options.Dialect = platform.Dialect()
+	options.Endpoints = platform.Endpoints(options.Settings)
+}
+
 // NewLogger returns the logger that the settings ask for.
 func NewLogger(s settings.Settings, output io.Writer) *event.Logger {
 	return event.NewLogger(event.Options{
@@ -84,7 +99,8 @@
 		log.Emit(event.StartFailed, "code", int(result.From(err).Code), "error", err)
 		return err
 	}
-	patience := s.AnnounceTime.Std() + s.DrainTimeout.Std() + stopMargin
+	announce, drain := s.StopTimes()
+	patience := announce + drain + stopMargin
 	return RunServers(patience, process)
 }
 
--- a/internal/lab/gossip.go
+++ b/internal/lab/gossip.go
@@ -74,7 +74,7 @@
 func (s *GossipSim) add(i int) {
 	member := &simMember{id: fmt.Sprintf("m%04d", i), slow: s.random.Float64() < s.config.Slow}
 	config := membership.Config{
-		Self:          membership.Member{ID: member.id, Control: address(i), Started: int64(i + 1)},
+		Self:          membership.Member{ID: member.id, Control: address(i), Generation: int64(i + 1)},
 		ProbeInterval: s.config.Interval,
 		Random:        rand.New(rand.NewPCG(s.config.Seed, uint64(i)+2)),
 		OnChange:      func(_, after membership.Member) { s.changed(member, after) },
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -34,6 +34,10 @@
 	Policy policy.Effective
 	// Request identifies the user request in the whole mesh.
 	Request string
+	// RequestID is the caller's name for the request, "" when it has none.
+	RequestID string
+	// Repeat says that this attempt, or a request above it, is a repeated one.
+	Repeat bool
 	// Tried lists the nodes that earlier attempts went to.
 	Tried []string
 	// Attempt identifies this attempt of the call.
--- a/kernel/chain.go
+++ b/kernel/chain.go
@@ -5,6 +5,7 @@
 var InboundChain = []string{
 	"drain",     // refuse when stopping
 	"deadline",  // refuse what is out of time, bound the rest
+	"instance",  // refuse while the back end is unknown or has left
 	"admission", // wait for a place beside the back end
 	"once",      // claim what may not be repeated
 	"forward",   // hand to the back end
--- a/kernel/execution.go
+++ b/kernel/execution.go
@@ -20,6 +20,10 @@
 	Deadline time.Time
 	Budget   *retrybudget.Account
 	Hops     int
+	// RequestID is the caller's name for the request, "" when it has none.
+	RequestID string
+	// Repeat says that the request is, or was made by, a repeated attempt.
+	Repeat bool
 
 	mutex    sync.Mutex
 	children int
@@ -119,20 +123,47 @@
 // add gives the execution a token and enters it.
 func (t *Executions) add(execution *Execution) {
 	execution.Token = t.prefix + "." + strconv.FormatUint(t.next.Add(1), 36)
-	shard := t.shard(execution.Token)
+	t.put(execution.Token, execution)
+	if execution.RequestID != "" {
+		t.put(requestKey(execution.RequestID), execution)
+	}
+}
+
+// requestKey is the key of the caller's name for a request. It never equals a
+// token, which begins with the id of the process.
+func requestKey(requestID string) string { return " " + requestID }
+
+func (t *Executions) put(key string, execution *Execution) {
+	shard := t.shard(key)
 	shard.mutex.Lock()
-	shard.byID[execution.Token] = execution
+	shard.byID[key] = execution
 	shard.mutex.Unlock()
 }
 
 // remove ends an execution.
 func (t *Executions) remove(execution *Execution) {
-	shard := t.shard(execution.Token)
+	t.drop(execution.Token, execution)
+	if execution.RequestID != "" {
+		t.drop(requestKey(execution.RequestID), execution)
+	}
+}
+
+// drop removes a key unless it stands for another execution by now.
+func (t *Executions) drop(key string, execution *Execution) {
+	shard := t.shard(key)
 	shard.mutex.Lock()
-	delete(shard.byID, execution.Token)
+	if shard.byID[key] == execution {
+		delete(shard.byID, key)
+	}
 	shard.mutex.Unlock()
 }
 
+// findRequest returns the execution of the request with the caller's name, nil
+// when there is none.
+func (t *Executions) findRequest(requestID string) *Execution {
+	return t.find(requestKey(requestID))
+}
+
 // find returns the execution with the given token, nil when there is none.
 func (t *Executions) find(token string) *Execution {
 	shard := t.shard(token)
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -17,7 +17,7 @@
 	p.Log.Emit(event.ProcessStarting, "id", p.ID, "role", string(p.Settings.Role), "zone", p.Settings.Zone,
 		"listen", p.TrafficAddress(), "control", p.ControlAddress(), "admin", p.AdminAddress(), "outbound", p.OutboundAddress())
 	p.HandleControl("GET "+wire.PathStatus, p.serveStatus)
-	failed := make(chan error, serverCount)
+	failed := make(chan error, len(p.servers.list))
 	p.servers.start(p, failed)
 	go p.Loop.run(p.context)
 	go p.waitReady()
@@ -26,6 +26,7 @@
 	}
 	select {
 	case err := <-failed:
+		p.Log.Emit(event.StartFailed, "error", err)
 		return err
 	case <-p.stopped:
 		return nil
@@ -86,9 +87,10 @@
 // waitAnnounced waits for the announce time and for the plug-ins that hand
 // something over.
 func (p *Process) waitAnnounced(ctx context.Context) {
-	announced := time.NewTimer(p.Settings.AnnounceTime.Std())
+	announce, _ := p.Settings.StopTimes()
+	announced := time.NewTimer(announce)
 	defer announced.Stop()
-	hooks, cancel := context.WithTimeout(ctx, max(drainHookTimeout, p.Settings.AnnounceTime.Std()))
+	hooks, cancel := context.WithTimeout(ctx, max(drainHookTimeout, announce))
 	defer cancel()
 	var group sync.WaitGroup
 	for _, run := range p.onDrain {
@@ -114,7 +116,8 @@
 // waitIdle waits until no request is in flight and reports whether that came
 // within the drain timeout.
 func (p *Process) waitIdle(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, p.Settings.DrainTimeout.Std())
+	_, drain := p.Settings.StopTimes()
+	ctx, cancel := context.WithTimeout(ctx, drain)
 	defer cancel()
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
@@ -29,11 +30,25 @@
 	// Dial opens connections to other processes. Embedders may use it to reach
 	// them in another way, tests to cut them off. Default: a net.Dialer.
 	Dial DialFunc
+	// Dialect names the headers of callers and back ends. The zero value is
+	// that of plain HTTP.
+	Dialect wire.Dialect
+	// Endpoints are further listeners, for what the platform asks of a process.
+	Endpoints []Endpoint
+	// Registry is where the process enters itself, so that others find it.
+	// Nil: none.
+	Registry store.Registry
 	// Hollow leaves out the traffic listeners. Hollow processes measure the
 	// cost of control.
 	Hollow bool
 }
 
+// Endpoint is a listener that is served apart from those of the settings.
+type Endpoint struct {
+	Address string // IP:port
+	Handler func(process *Process) http.Handler
+}
+
 // DialFunc opens a TCP connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -61,6 +76,21 @@
 	Announce()
 }
 
+// BackEnd is what the plug-in that follows the back end's heartbeats provides.
+type BackEnd interface {
+	// Observe takes a heartbeat. When it returns nil, what the heartbeat says is
+	// in force here and is being announced.
+	Observe(ctx context.Context, report instance.Report) error
+	// Leave takes the goodbye of an incarnation.
+	Leave(ctx context.Context, id string) error
+	// Found tells which incarnation refused a request that was meant for another.
+	Found(expected, actual string)
+	// Unreachable tells that no connection to the back end could be opened.
+	Unreachable()
+	// State returns what is known now.
+	State() instance.State
+}
+
 // Process is one loomcleat process: a node or a gateway.
 type Process struct {
 	Settings settings.Settings
@@ -73,6 +103,8 @@
 	Metrics  *prometheus.Registry
 	Control  *ControlClient
 	Dial     DialFunc // nil: a net.Dialer
+	Dialect  wire.Dialect
+	Registry store.Registry // nil: none
 	Counters Counters
 
 	// Policy is the policy tree in force.
@@ -85,6 +117,9 @@
 	// Documents and Mesh are set during set-up by plug-ins.
 	Documents Documents
 	Mesh      Mesh
+	// BackEnd is set during set-up by a plug-in, nil when the back end sends no
+	// heartbeats.
+	BackEnd BackEnd
 
 	hollow     bool
 	inFlight   atomic.Int64
@@ -92,6 +127,8 @@
 	leaving    atomic.Bool
 	draining   atomic.Bool
 	executions *Executions
+	splits     splitCounters
+	endpoints  []Endpoint
 	listeners  listeners
 	servers    servers
 	middleware [2]map[string]Middleware // inbound, outbound
@@ -129,6 +166,7 @@
 // listeners are the bound addresses of a process.
 type listeners struct {
 	traffic, outbound, control, admin net.Listener
+	endpoints                         []net.Listener // as Process.endpoints
 }
 
 // New binds the listeners of a process and sets up its plug-ins. Nothing is
@@ -142,6 +180,8 @@
 		Loop:     newLoop(),
 		Store:    options.Store,
 		Machines: options.Machines,
+		Dialect:  options.Dialect,
+		Registry: options.Registry,
 		Metrics:  prometheus.NewRegistry(),
 		hollow:   options.Hollow,
 		stopped:  make(chan struct{}),
@@ -152,6 +192,7 @@
 	p.executions = newExecutions(p.ID)
 	p.middleware = [2]map[string]Middleware{{}, {}}
 	p.Dial = options.Dial
+	p.endpoints = options.Endpoints
 	p.Control = newControlClient(&p.Counters, options.Dial)
 	p.Counters.register(p.Metrics)
 	if err := p.listen(); err != nil {
@@ -200,11 +241,19 @@
 		}
 		*target.into = listener
 	}
+	for _, endpoint := range p.endpoints {
+		listener, err := net.Listen("tcp", endpoint.Address)
+		if err != nil {
+			p.listeners.close()
+			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", endpoint.Address)
+		}
+		p.listeners.endpoints = append(p.listeners.endpoints, listener)
+	}
 	return nil
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.traffic, l.outbound, l.control, l.admin} {
+	for _, listener := range append([]net.Listener{l.traffic, l.outbound, l.control, l.admin}, l.endpoints...) {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/kernel/servers.go
+++ b/kernel/servers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -13,9 +14,6 @@
 	"github.com/loomcleat/loomcleat/result"
 )
 
-// serverCount is the largest number of servers of one process.
-const serverCount = 4
-
 // servers are the HTTP servers of a process, each a kratos HTTP server. A
 // filter answers each request before the router of kratos sees it: the router
 // cleans paths and would change what callers sent.
@@ -42,18 +40,25 @@
 		s.add(p.listeners.traffic, handler)
 	}
 	if p.listeners.outbound != nil {
-		s.add(p.listeners.outbound, http.HandlerFunc(p.serveOutbound))
+		s.add(p.listeners.outbound, p.outboundHandler())
 	}
 	if p.listeners.admin != nil {
 		s.add(p.listeners.admin, p.adminRoutes())
 	}
+	for i, endpoint := range p.endpoints {
+		s.add(p.listeners.endpoints[i], endpoint.Handler(p))
+	}
 	s.add(countingListener{Listener: p.listeners.control, counters: &p.Counters}, s.controlRoutes)
 	return s
 }
 
 func (s *servers) add(listener net.Listener, handler http.Handler) {
 	answerAll := func(http.Handler) http.Handler { return handler }
-	server := kratoshttp.NewServer(kratoshttp.Listener(listener), kratoshttp.Filter(answerAll), kratoshttp.Timeout(0))
+	// Without an endpoint, kratos looks for one among the network interfaces,
+	// which cannot be listed everywhere.
+	endpoint := &url.URL{Scheme: "http", Host: listener.Addr().String()}
+	server := kratoshttp.NewServer(kratoshttp.Listener(listener), kratoshttp.Endpoint(endpoint),
+		kratoshttp.Filter(answerAll), kratoshttp.Timeout(0))
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
 	s.list = append(s.list, server)
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -105,47 +105,103 @@
 	}
 }
 
-// newCall fills in what all calls have.
-func (p *Process) newCall(r *http.Request, service string) (*Call, error) {
-	if !p.Ready() {
-		return nil, result.New(result.NotReady, "the process has not learned the policy yet").WithRetryAfter(notReadyRetryAfter)
+// target is the service that a request is for and how it is to be treated.
+type target struct {
+	service string
+	policy  policy.Effective
+}
+
+// routed finds the target of a request by the route table of the policy tree.
+// Without one, service says what it is for.
+func (p *Process) routed(r *http.Request, service func(*http.Request) string) (target, error) {
+	index := p.Policy.Load()
+	path := r.URL.EscapedPath()
+	if index.Routes().Empty() {
+		name := service(r)
+		return target{name, index.Resolve(name, r.Method, path)}, nil
+	}
+	route := index.Routes().Find(hostName(r.Host), path)
+	if route == nil {
+		return target{}, result.New(result.NoRoute, "no route of revision %d leads to %s%s", index.Revision(), r.Host, path)
+	}
+	name := route.ServiceAt(p.splits.next(route.Name))
+	return target{name, route.Apply(index.Resolve(name, r.Method, path))}, nil
+}
+
+// checkReady refuses requests while the process does not know the policy.
+func (p *Process) checkReady() error {
+	if p.Ready() {
+		return nil
 	}
+	return result.New(result.NotReady, "the process has not learned the policy yet").WithRetryAfter(notReadyRetryAfter)
+}
+
+// newCall fills in what all calls have.
+func (p *Process) newCall(r *http.Request, to target) (*Call, error) {
 	body, err := newBody(r)
 	if err != nil {
 		return nil, err
 	}
 	header := r.Header.Clone()
 	wire.RemoveHopByHop(header)
-	return &Call{
-		Service:     service,
+	call := &Call{
+		Service:     to.service,
 		Method:      r.Method,
 		URL:         r.URL,
 		Host:        r.Host,
 		Header:      header,
 		Body:        body,
 		Fingerprint: body.fingerprint(),
-		Policy:      p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath()),
-	}, nil
+		Policy:      to.policy,
+	}
+	if p.Dialect.HasRequestID() {
+		call.RequestID = header.Get(p.Dialect.RequestID)
+	}
+	return call, nil
+}
+
+// outgoingCall builds a call that is to be routed to a service.
+func (p *Process) outgoingCall(r *http.Request, service func(*http.Request) string) (*Call, error) {
+	if err := p.checkReady(); err != nil {
+		return nil, err
+	}
+	to, err := p.routed(r, service)
+	if err != nil {
+		return nil, err
+	}
+	call, err := p.newCall(r, to)
+	if err != nil {
+		return nil, err
+	}
+	if name := p.Dialect.CallerService; name != "" {
+		call.Header.Set(name, p.Settings.Service)
+	}
+	return call, nil
 }
 
 // gatewayCall builds the call of a caller outside the mesh. Nothing that the
 // caller says about priority, budget or identity inside the mesh counts.
 func (p *Process) gatewayCall(r *http.Request) (*Call, error) {
-	call, err := p.newCall(r, p.routeService(r))
+	call, err := p.outgoingCall(r, p.routeService)
 	if err != nil {
 		return nil, err
 	}
 	wire.RemoveInternal(call.Header)
+	p.admitCaller(call)
+	return call, nil
+}
+
+// admitCaller starts the user request of a caller outside the mesh.
+func (p *Process) admitCaller(call *Call) {
 	call.External = true
 	p.grant(call, call.Policy.Class, call.Policy.RetryBudget)
-	return call, nil
 }
 
 // grant starts a user request.
 func (p *Process) grant(call *Call, class policy.Class, retries int) {
 	call.Request = uuid.NewString()
 	call.Priority = admission.Priority(int(class), call.Request)
-	call.Deadline = time.Now().Add(call.Policy.Deadline)
+	call.Deadline = p.deadlineOf(call)
 	call.Budget = retrybudget.Open(retries)
 }
 
@@ -175,30 +231,96 @@
 	return label
 }
 
+// outboundHandler serves the outbound listener: calls of the own back end, and
+// at an entry those of callers outside the mesh as well.
+func (p *Process) outboundHandler() http.Handler {
+	if p.Settings.Entry {
+		return http.HandlerFunc(p.serveEntry)
+	}
+	return http.HandlerFunc(p.serveOutbound)
+}
+
 // outboundCall builds a call that the own back end makes. A call that carries
 // the context of a request that is being served belongs to its user request.
 // One without gets no retries and the lowest class.
 func (p *Process) outboundCall(r *http.Request) (*Call, error) {
-	call, err := p.newCall(r, firstLabel(hostName(r.Host)))
+	call, err := p.outgoingCall(r, serviceOfHost)
 	if err != nil {
 		return nil, err
 	}
 	token := r.Header.Get(wire.HeaderContext)
 	wire.RemoveInternal(call.Header)
-	execution := p.executions.find(token)
-	if execution == nil {
-		p.grant(call, policy.Bulk, 0)
+	if execution := p.executions.find(token); execution != nil {
+		p.join(call, execution)
 		return call, nil
 	}
+	p.grant(call, policy.Bulk, 0)
+	return call, nil
+}
+
+// serveEntry serves a caller outside the mesh or a call of the own back end.
+func (p *Process) serveEntry(w http.ResponseWriter, r *http.Request) {
+	p.serve(w, r, directionOutbound, p.outbound, p.entryCall)
+}
+
+// entryCall builds a call that may come from anywhere. One that belongs to a
+// request that the own back end is serving, by its context or by its name, is
+// joined to it; any other is a user request of its own.
+func (p *Process) entryCall(r *http.Request) (*Call, error) {
+	call, err := p.outgoingCall(r, serviceOfHost)
+	if err != nil {
+		return nil, err
+	}
+	execution := p.executions.find(r.Header.Get(wire.HeaderContext))
+	if execution == nil {
+		execution = p.parentOf(call)
+	}
+	wire.RemoveInternal(call.Header)
+	if execution != nil {
+		p.join(call, execution)
+	} else {
+		p.admitCaller(call)
+	}
+	return call, nil
+}
+
+// parentOf returns the execution that a call belongs to by its name, nil when
+// there is none.
+func (p *Process) parentOf(call *Call) *Execution {
+	if p.Dialect.ParentID == nil || call.RequestID == "" {
+		return nil
+	}
+	parent, ok := p.Dialect.ParentID(call.RequestID)
+	if !ok {
+		return nil
+	}
+	return p.executions.findRequest(parent)
+}
+
+// join makes a call part of the user request of an execution.
+func (p *Process) join(call *Call, execution *Execution) {
 	call.Execution = execution
 	call.Request = execution.Request
 	call.Priority = execution.Priority
 	call.Budget = execution.Budget
 	call.Hops = execution.Hops + 1
-	call.Deadline = earlier(execution.Deadline, time.Now().Add(call.Policy.Deadline))
-	return call, nil
+	call.Repeat = execution.Repeat
+	call.Deadline = earlier(execution.Deadline, p.deadlineOf(call))
+}
+
+// deadlineOf returns when a call ends by its policy and by what its caller says.
+func (p *Process) deadlineOf(call *Call) time.Time {
+	now := time.Now()
+	limit := call.Policy.Deadline
+	if left, told := p.Dialect.ReadRemaining(call.Header); told {
+		limit = min(limit, left)
+	}
+	return now.Add(limit)
 }
 
+// serviceOfHost returns the first label of the Host header.
+func serviceOfHost(r *http.Request) string { return firstLabel(hostName(r.Host)) }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -213,9 +335,13 @@
 		service = p.Settings.Service
 	}
 	if service != p.Settings.Service {
-		return nil, result.New(result.UnknownService, "this node serves %s, not %s", p.Settings.Service, service)
+		return nil, result.New(result.NodeRefused, "this node serves %s, not %s", p.Settings.Service, service)
+	}
+	if err := p.checkReady(); err != nil {
+		return nil, err
 	}
-	call, err := p.newCall(r, service)
+	to := target{service, p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath())}
+	call, err := p.newCall(r, to)
 	if err != nil {
 		return nil, err
 	}
@@ -231,6 +357,9 @@
 		Deadline: call.Deadline,
 		Budget:   call.Budget,
 		Hops:     call.Hops,
+
+		RequestID: call.RequestID,
+		Repeat:    call.Repeat,
 	}
 	return call, nil
 }
@@ -251,6 +380,7 @@
 	call.Priority = min(max(number(header, wire.HeaderPriority, 0), 0), admission.MaximumPriority)
 	call.Budget = retrybudget.Open(min(number(header, wire.HeaderBudget, 0), policy.MaximumRetryBudget))
 	call.Hops = number(header, wire.HeaderHops, 0)
+	call.Repeat = header.Get(wire.HeaderRepeat) != ""
 	var key claims.Key
 	if err := key.UnmarshalText([]byte(header.Get(wire.HeaderClaimKey))); err != nil {
 		return err
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -173,17 +173,31 @@
 	return true
 }
 
+// outlive goes above the generation of a predecessor that others still take for
+// the process at this address, as they do when the time of day was set back
+// before this process started.
+func (m *Machine) outlive(predecessor Member) {
+	if predecessor.Status == Dead || predecessor.Generation < m.self.Generation {
+		return
+	}
+	m.updateSelf(func(self *Member) {
+		self.Generation = predecessor.Generation + 1
+		self.Version++
+	})
+}
+
 // replaced handles two records with one control address: the process with the
-// earlier start time is dead. It reports whether received is that process.
+// lower generation is dead. It reports whether received is that process.
 func (m *Machine) replaced(now time.Time, received Member) bool {
 	if received.Control == m.self.Control {
+		m.outlive(received)
 		return true
 	}
 	for _, known := range m.members {
 		if known.Control != received.Control || known.ID == received.ID {
 			continue
 		}
-		if known.Started >= received.Started {
+		if known.Generation >= received.Generation {
 			return known.Status != Dead
 		}
 		if known.Status != Dead {
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -160,10 +160,24 @@
 	// contradict at once.
 	if known, exists := m.members[message.From.ID]; exists && known.Status != Alive && !m.config.NoSuspectNotice {
 		reply.Updates = append(reply.Updates, known.Member)
+	} else if !exists {
+		reply.Updates = append(reply.Updates, m.successors(message.From)...)
 	}
 	return reply
 }
 
+// successors returns the members that are taken here for the process at the
+// address of a sender that is not known, so that it can contradict.
+func (m *Machine) successors(sender Member) []Member {
+	found := []Member{}
+	for _, known := range m.members {
+		if known.Control == sender.Control && known.Status != Dead {
+			found = append(found, known.Member)
+		}
+	}
+	return found
+}
+
 // Replied handles the answer to a message.
 func (m *Machine) Replied(now time.Time, sent Send, reply Message) []Send {
 	m.learn(now, reply)
--- a/membership/types.go
+++ b/membership/types.go
@@ -33,12 +33,16 @@
 	Region  string `json:"reg,omitempty"`
 	Zone    string `json:"zon,omitempty"`
 	Service string `json:"svc,omitempty"` // empty for gateways
-	Started int64  `json:"st"`            // start time, Unix milliseconds
-	Version uint64 `json:"inc"`           // incarnation, raised by the member itself
-	Status  Status `json:"sta,omitempty"`
-	Leaving bool   `json:"lv,omitempty"` // takes no new requests
-	Down    bool   `json:"dn,omitempty"` // its back end refuses connections
-	Accuser string `json:"by,omitempty"` // who suspects it
+	// Generation tells processes apart that follow each other at one control
+	// address: the highest one is there now. A process begins with its time of
+	// day in Unix milliseconds, which may be wrong, and goes above that of a
+	// predecessor that it hears of.
+	Generation int64  `json:"st"`
+	Version    uint64 `json:"inc"` // incarnation, raised by the member itself
+	Status     Status `json:"sta,omitempty"`
+	Leaving    bool   `json:"lv,omitempty"` // takes no new requests
+	Down       bool   `json:"dn,omitempty"` // its back end refuses connections
+	Accuser    string `json:"by,omitempty"` // who suspects it
 	// Places lists what else the member announces of itself; the machine does
 	// not look at it.
 	Places []string `json:"pl,omitempty"`
@@ -74,7 +78,7 @@
 
 // Config configures a Machine.
 type Config struct {
-	// Self is the record of this process. ID, Control and Started are required.
+	// Self is the record of this process. ID, Control and Generation are required.
 	Self Member
 
 	// ProbeInterval is the time between probes. Shorter finds failures sooner
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -91,6 +91,9 @@
 // setBounds passes changed settings of the service to the controller.
 func (p *plugin) setBounds(call *kernel.Call) {
 	wanted := bounds{call.Policy.ConcurrencyMin, call.Policy.ConcurrencyMax, call.Policy.QueueTime}
+	if slots := p.slots(); slots > 0 {
+		wanted.minimum, wanted.maximum = slots, slots
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if wanted == p.bounds {
@@ -100,6 +103,15 @@
 	p.controller.SetBounds(wanted.minimum, wanted.maximum, wanted.queueTime)
 }
 
+// slots is the number of requests that the back end says it works on at a time,
+// 0 when it does not say. It needs no search for the limit then.
+func (p *plugin) slots() int {
+	if p.process.BackEnd == nil {
+		return 0
+	}
+	return p.process.BackEnd.State().Slots
+}
+
 // wait waits for a place.
 func (p *plugin) wait(call *kernel.Call) error {
 	verdicts := make(chan admission.Verdict, 1)
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -9,6 +9,7 @@
 	_ "github.com/loomcleat/loomcleat/plugin/drain"      // orderly stop
 	_ "github.com/loomcleat/loomcleat/plugin/forward"    // the back end
 	_ "github.com/loomcleat/loomcleat/plugin/identity"   // names of calls
+	_ "github.com/loomcleat/loomcleat/plugin/instance"   // heartbeats of the back end
 	_ "github.com/loomcleat/loomcleat/plugin/membership" // gossip
 	_ "github.com/loomcleat/loomcleat/plugin/once"       // at most once
 	_ "github.com/loomcleat/loomcleat/plugin/retry"      // attempts
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -29,8 +29,10 @@
 func setup(process *kernel.Process) error {
 	s := &synchronizer{process: process, documents: map[wire.DocumentName]*document{
 		wire.DocumentPolicy: {name: wire.DocumentPolicy, key: editor.Key, revisionOf: policyRevision},
-		wire.DocumentGroups: {name: wire.DocumentGroups, key: claims.StoreKey, revisionOf: groupsRevision},
 	}}
+	if process.Settings.Claims {
+		s.documents[wire.DocumentGroups] = &document{name: wire.DocumentGroups, key: claims.StoreKey, revisionOf: groupsRevision}
+	}
 	process.Documents = s
 	process.HandleControl("GET "+wire.PathDocument+"{name}", s.serveDocument)
 	process.AddReadiness(s.confirmed.Load)
@@ -87,11 +89,14 @@
 
 // Revisions implements kernel.Documents.
 func (s *synchronizer) Revisions() wire.Revisions {
-	return wire.Revisions{
+	revisions := wire.Revisions{
 		Policy:    s.documents[wire.DocumentPolicy].revision.Load(),
-		Groups:    s.documents[wire.DocumentGroups].revision.Load(),
 		Confirmed: s.confirmed.Load(),
 	}
+	if groups, exists := s.documents[wire.DocumentGroups]; exists {
+		revisions.Groups = groups.revision.Load()
+	}
+	return revisions
 }
 
 // Subscribe implements kernel.Documents.
@@ -140,7 +145,6 @@
 
 // Watching of the store.
 const (
-	storeWatches   = 3 // processes that watch
 	watchWait      = 20 * time.Second
 	idleWait       = time.Second // of processes that do not watch
 	firstBackoff   = 200 * time.Millisecond
@@ -197,7 +201,7 @@
 			return 0, err
 		}
 	}
-	if d.name == wire.DocumentPolicy {
+	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
 		s.confirmed.Store(true)
 	}
 	if entry.Watch < position {
@@ -216,7 +220,7 @@
 
 // watches reports whether this process is one of those that watch the store.
 func (s *synchronizer) watches() bool {
-	return spread.Watches(s.process.ID, kernel.LiveIDs(*s.process.Members.Load()), storeWatches)
+	return spread.Watches(s.process.ID, kernel.LiveIDs(*s.process.Members.Load()), s.process.Settings.StoreWatches)
 }
 
 func backoff(failures int) time.Duration {
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -34,7 +34,9 @@
 		}),
 	}
 	process.UseInbound(name, func(kernel.Handler) kernel.Handler { return kernel.HandlerFunc(f.handle) })
-	process.OnStart(f.watch)
+	if process.BackEnd == nil {
+		process.OnStart(f.watch)
+	}
 	return nil
 }
 
@@ -49,14 +51,23 @@
 // handle sends the call to the back end.
 func (f *forward) handle(call *kernel.Call) (*kernel.Answer, error) {
 	call.Header.Set(wire.HeaderContext, call.Execution.Token)
+	expected, err := f.expect(call)
+	if err != nil {
+		return nil, err
+	}
+	f.process.Dialect.WriteRemaining(call.Header, time.Until(call.Deadline))
 	response, err := f.transmitter.Send(call.Context, call, f.process.Settings.Backend, call.Header)
 	if err != nil {
 		if result.From(err).Code == result.BackendUnreachable {
-			f.setDown(true)
+			f.unreachable()
 		}
 		return nil, err
 	}
-	f.setDown(false)
+	f.reachable()
+	if err := f.checkAnswer(call, response, expected); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if echo := response.Header.Get(wire.HeaderContext); echo != "" && echo != call.Execution.Token {
 		f.process.Log.Emit(event.AnswerMismatch, "backend", f.process.Settings.Backend)
 		_ = response.Body.Close() // unread, so that the connection is closed
@@ -68,6 +79,58 @@
 	return &kernel.Answer{Response: response}, nil
 }
 
+// expect names the incarnation that may run the call. It is looked up once more
+// here, since the back end may have left while the call waited for a place.
+func (f *forward) expect(call *kernel.Call) (instance string, err error) {
+	if f.process.BackEnd == nil {
+		return "", nil
+	}
+	state := f.process.BackEnd.State()
+	if !state.Open(time.Now()) {
+		return "", result.New(result.BackendLeft, "the back end %q left while the request waited", state.ID)
+	}
+	if header := f.process.Dialect.ExpectInstance; header != "" {
+		call.Header.Set(header, state.ID)
+	}
+	return state.ID, nil
+}
+
+// checkAnswer returns an error for an answer that is not one to the call, and
+// for a promise of the back end that it did not run it.
+func (f *forward) checkAnswer(call *kernel.Call, response *http.Response, expected string) error {
+	dialect := &f.process.Dialect
+	if dialect.HasRequestID() && call.RequestID != "" && response.Header.Get(dialect.RequestID) != call.RequestID {
+		f.process.Log.Emit(event.AnswerMismatch, "backend", f.process.Settings.Backend, "request", call.RequestID,
+			"answered", response.Header.Get(dialect.RequestID))
+		return result.New(result.AnswerMismatch, "the back end answered another request")
+	}
+	if !dialect.IsNotRun(response) {
+		return nil
+	}
+	if response.StatusCode == http.StatusMisdirectedRequest && f.process.BackEnd != nil {
+		f.process.BackEnd.Found(expected, response.Header.Get(dialect.Instance))
+	}
+	return result.New(result.BackendRefused, "the back end refused with status %d", response.StatusCode).WithRetryAfter(refusedRetryAfter)
+}
+
+// refusedRetryAfter is the time after which a caller may ask again that a back
+// end refused.
+const refusedRetryAfter = time.Second
+
+func (f *forward) unreachable() {
+	if f.process.BackEnd != nil {
+		f.process.BackEnd.Unreachable()
+		return
+	}
+	f.setDown(true)
+}
+
+func (f *forward) reachable() {
+	if f.process.BackEnd == nil {
+		f.setDown(false)
+	}
+}
+
 // setDown announces that the back end refuses connections, or no longer does.
 func (f *forward) setDown(down bool) {
 	if f.down.Swap(down) == down {
--- a/plugin/identity/setup.go
+++ b/plugin/identity/setup.go
@@ -16,6 +16,9 @@
 func init() { kernel.Register(name, kernel.StageTraffic, setup) }
 
 func setup(process *kernel.Process) error {
+	if !process.Settings.Claims {
+		return nil
+	}
 	process.UseOutbound(name, func(next kernel.Handler) kernel.Handler {
 		return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
 			minted := mintKey(call)
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -29,13 +29,13 @@
 	m := &mesh{process: process, timeout: interval / 2, silent: map[string]bool{}}
 	m.machine = membership.New(membership.Config{
 		Self: membership.Member{
-			ID:      process.ID,
-			Control: process.ControlAddress(),
-			Traffic: trafficAddress(process),
-			Region:  process.Settings.Region,
-			Zone:    process.Settings.Zone,
-			Service: process.Settings.Service,
-			Started: process.Started.UnixMilli(),
+			ID:         process.ID,
+			Control:    process.ControlAddress(),
+			Traffic:    trafficAddress(process),
+			Region:     process.Settings.Region,
+			Zone:       process.Settings.Zone,
+			Service:    process.Settings.Service,
+			Generation: process.Started.UnixMilli(),
 		},
 		ProbeInterval: interval,
 		ProbeTimeout:  m.timeout,
@@ -50,6 +50,10 @@
 	if process.Machines != nil {
 		process.OnStart(m.pollMachines)
 	}
+	if process.Registry != nil {
+		process.OnStart(m.register)
+		process.OnDrain(m.deregister)
+	}
 	process.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "loomcleat_members", Help: "Processes of the mesh that are not dead, as this one knows them.",
 	}, m.countLive))
--- a/plugin/once/setup.go
+++ b/plugin/once/setup.go
@@ -19,6 +19,9 @@
 func init() { kernel.Register(name, kernel.StageTraffic, setup) }
 
 func setup(process *kernel.Process) error {
+	if !process.Settings.Claims {
+		return nil
+	}
 	o := &once{
 		process: process,
 		self:    claims.Process{ID: process.ID, Control: process.ControlAddress()},
--- a/plugin/retry/setup.go
+++ b/plugin/retry/setup.go
@@ -5,12 +5,9 @@
 import (
 	"io"
 	"net/http"
-	"sync"
-	"time"
 
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
-	"github.com/loomcleat/loomcleat/retrybudget"
 )
 
 const name = "retry"
@@ -18,7 +15,7 @@
 func init() { kernel.Register(name, kernel.StageTraffic, setup) }
 
 func setup(process *kernel.Process) error {
-	r := &retrier{process: process, ratios: map[string]*retrybudget.Ratio{}}
+	r := &retrier{process: process, limiter: newLimiter(process)}
 	process.UseOutbound(name, r.middleware)
 	return nil
 }
@@ -26,22 +23,18 @@
 // retrier repeats the calls of one process.
 type retrier struct {
 	process *kernel.Process
-	mutex   sync.Mutex
-	ratios  map[string]*retrybudget.Ratio // by service
+	limiter limiter
 }
 
 func (r *retrier) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
-		r.ratio(call, func(ratio *retrybudget.Ratio, now time.Time) bool {
-			ratio.Call(now, call.Policy.RetryRatio)
-			return true
-		})
+		r.limiter.begin(call)
 		ran := false // an attempt may have run
-		for {
+		for offers := 1; ; offers++ {
 			answer, err := next.Handle(call)
 			outcome := judge(answer, err)
 			ran = ran || (outcome != notRun && outcome != notRunFinal)
-			if !r.mayRepeat(call, outcome, err) {
+			if !r.mayRepeat(call, outcome, err, offers) {
 				return answer, withRan(err, ran)
 			}
 			if answer != nil {
@@ -74,7 +67,7 @@
 	}
 	typed := result.From(err)
 	switch typed.Code {
-	case result.Overloaded, result.Draining, result.BackendUnreachable, result.NodeRefused, result.NotReady, result.ClaimUnavailable:
+	case result.Overloaded, result.BackendRefused, result.BackendLeft, result.Draining, result.BackendUnreachable, result.NodeRefused, result.NotReady, result.ClaimUnavailable:
 		if typed.NotRun() {
 			return notRun
 		}
@@ -92,38 +85,22 @@
 // mayRepeat decides whether there is another attempt, and pays for it.
 //
 // A request that may not be repeated is sent again only when its attempt did
-// not run, or when the error came from the way there: the claim on its key then
-// makes sure that the next attempt gets the answer of the first and does not
-// run it again. An answer of the back end itself is final for such a request.
-func (r *retrier) mayRepeat(call *kernel.Call, seen outcome, err error) bool {
+// not run, or, with claims, when the error came from the way there: the claim on
+// its key then makes sure that the next attempt gets the answer of the first and
+// does not run it again. An answer of the back end itself is final for it.
+func (r *retrier) mayRepeat(call *kernel.Call, seen outcome, err error, offers int) bool {
 	switch seen {
 	case final, notRunFinal:
 		return false
 	case unclear:
-		if !call.Policy.Repeatable && err == nil {
+		if !call.Policy.Repeatable && (err == nil || !r.process.Settings.Claims) {
 			return false
 		}
 	}
 	if !call.Body.Replayable() || call.Context.Err() != nil {
 		return false
 	}
-	if !call.Budget.Spend() {
-		return false
-	}
-	return r.ratio(call, func(ratio *retrybudget.Ratio, now time.Time) bool { return ratio.Retry(now) })
-}
-
-// ratio uses the bucket of the call's service.
-func (r *retrier) ratio(call *kernel.Call, use func(*retrybudget.Ratio, time.Time) bool) bool {
-	now := time.Now()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	bucket, exists := r.ratios[call.Service]
-	if !exists {
-		bucket = retrybudget.NewRatio(now)
-		r.ratios[call.Service] = bucket
-	}
-	return use(bucket, now)
+	return r.limiter.repeat(call, seen, err, offers)
 }
 
 // withRan marks the error of a request of which an attempt may have run, so
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -230,6 +230,9 @@
 	header[wire.HeaderRemaining] = []string{strconv.FormatInt(call.Deadline.Sub(now).Microseconds(), 10)}
 	header[wire.HeaderBudget] = []string{strconv.Itoa(loan)}
 	header[wire.HeaderHops] = []string{strconv.Itoa(call.Hops)}
+	if call.Repeat {
+		header[wire.HeaderRepeat] = []string{"1"}
+	}
 	header[wire.HeaderClaimKey] = []string{call.ClaimKey.String()}
 	return header
 }
--- a/policy/document.go
+++ b/policy/document.go
@@ -80,6 +80,11 @@
 	Revision uint64              `json:"revision"`
 	Entries  map[string]Settings `json:"entries"` // by path, see ParsePath
 	History  []Edit              `json:"history,omitempty"`
+	// Routes map requests to services. Empty: the settings of the process and
+	// the Host header say which service a request is for.
+	Routes []Route `json:"routes,omitempty"`
+	// Limits bound what callers may send.
+	Limits Limits `json:"limits,omitzero"`
 }
 
 // Decode reads a Document and checks it.
@@ -130,6 +135,8 @@
 		copied.Entries[path] = settings
 	}
 	copied.History = append(copied.History, d.History...)
+	copied.Routes = append(copied.Routes, d.Routes...)
+	copied.Limits = d.Limits
 	return copied
 }
 
--- a/policy/edit.go
+++ b/policy/edit.go
@@ -112,6 +112,11 @@
 		}
 		owners[path.Service] = owner
 	}
+	for i := range d.Routes {
+		if err := d.Routes[i].check(); err != nil {
+			return err
+		}
+	}
 	return d.checkConcurrency()
 }
 
--- a/policy/resolve.go
+++ b/policy/resolve.go
@@ -19,6 +19,9 @@
 	ConcurrencyMin int           `json:"concurrency_min"`
 	ConcurrencyMax int           `json:"concurrency_max"`
 	QueueTime      time.Duration `json:"queue_time_ns"`
+	// TargetLatency is the time within which an answer has its full worth. It
+	// comes from the route; 0 when none is known.
+	TargetLatency time.Duration `json:"target_latency_ns,omitempty"`
 }
 
 // Defaults for keys that no entry sets.
@@ -37,6 +40,8 @@
 	revision uint64
 	entries  map[string]Settings
 	services map[string]*serviceEntry
+	routes   *RouteTable
+	limits   Limits
 }
 
 type serviceEntry struct {
@@ -54,12 +59,14 @@
 
 // NewIndex prepares document for Resolve. A nil document is an empty tree.
 func NewIndex(document *Document) *Index {
-	index := &Index{entries: map[string]Settings{}, services: map[string]*serviceEntry{}}
+	index := &Index{entries: map[string]Settings{}, services: map[string]*serviceEntry{}, routes: newRouteTable(nil)}
 	if document == nil {
 		return index
 	}
 	index.revision = document.Revision
 	index.entries = document.Entries
+	index.routes = newRouteTable(document.Routes)
+	index.limits = document.Limits
 	for _, text := range document.Paths() {
 		index.add(text)
 	}
@@ -144,6 +151,12 @@
 	}
 }
 
+// Routes returns the route table.
+func (x *Index) Routes() *RouteTable { return x.routes }
+
+// Limits returns the bounds of what callers may send.
+func (x *Index) Limits() Limits { return x.limits }
+
 // Revision returns the revision of the Document.
 func (x *Index) Revision() uint64 { return x.revision }
 
--- a/result/codes.go
+++ b/result/codes.go
@@ -43,6 +43,8 @@
 	UnknownService     Code = 2009
 	CallerGone         Code = 2010
 	NodeRefused        Code = 2011
+	BackendRefused     Code = 2012
+	BackendLeft        Code = 2013
 )
 
 // Codes of requests whose outcome is unknown.
@@ -58,6 +60,7 @@
 const (
 	BadRequest Code = 4001
 	KeyReused  Code = 4002
+	NoRoute    Code = 4003
 )
 
 // Codes of defects.
@@ -96,6 +99,8 @@
 	{UnknownService, "unknown-service", http.StatusNotFound, true, "The request names a service that is neither in the policy tree nor a member."},
 	{CallerGone, "caller-gone", 499, true, "The caller went away before the request was started."},
 	{NodeRefused, "node-refused", http.StatusServiceUnavailable, true, "No connection to a node of the service could be opened."},
+	{BackendRefused, "backend-refused", http.StatusServiceUnavailable, true, "The back end promised that it did not run the request and will not."},
+	{BackendLeft, "backend-left", http.StatusServiceUnavailable, true, "The back end beside the node is not known yet, or has left."},
 	{DeadlineExceeded, "deadline-exceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request was in flight."},
 	{ConnectionLost, "connection-lost", http.StatusBadGateway, false, "The connection broke after the request was sent and before its answer arrived."},
 	{AlreadyClaimed, "already-claimed", http.StatusConflict, false, "The request was started before under the same key and its answer is not available; it was not run again."},
@@ -103,6 +108,7 @@
 	{AnswerMismatch, "answer-mismatch", http.StatusBadGateway, false, "An answer did not carry the identity of its request and was discarded."},
 	{BadRequest, "bad-request", http.StatusBadRequest, true, "The request is malformed."},
 	{KeyReused, "key-reused", http.StatusUnprocessableEntity, true, "The Idempotency-Key was used before for a different request."},
+	{NoRoute, "no-route", http.StatusNotFound, true, "No route of the policy in force leads to the host and path."},
 	{Internal, "internal", http.StatusInternalServerError, false, "A defect in loomcleat; the log has the details."},
 }
 
--- a/result/error.go
+++ b/result/error.go
@@ -94,6 +94,20 @@
 	return OutcomeUnknown
 }
 
+// Status returns the HTTP status for e. An error whose request may have run
+// never gets a status that promises that it has not.
+func (e *Error) Status() int {
+	status := e.Code.Definition().Status
+	switch {
+	case status == 0:
+		return http.StatusInternalServerError
+	case e.Ran && e.Code.Definition().NotRun && status >= http.StatusInternalServerError:
+		return http.StatusBadGateway
+	default:
+		return status
+	}
+}
+
 // WriteHTTP sends e as an HTTP response: numbered header, outcome header,
 // Retry-After in whole seconds (rounded up) and a small JSON body.
 func (e *Error) WriteHTTP(w http.ResponseWriter) {
@@ -111,10 +125,6 @@
 		body = nil
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	status := definition.Status
-	if status == 0 {
-		status = http.StatusInternalServerError
-	}
-	w.WriteHeader(status)
+	w.WriteHeader(e.Status())
 	_, _ = w.Write(body)
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -90,6 +90,14 @@
 	c.address("listen", s.Listen)
 	c.address("control", s.Control)
 	c.address("admin", s.Admin)
+	if s.Readiness != "" {
+		c.address("readiness", s.Readiness)
+	}
+	c.oneOf("store_api", s.StoreAPI, StoreConsul, StorePlatform)
+	s.checkRetryBudget(c)
+	if s.StopWithin != 0 {
+		c.duration("stop_within", s.StopWithin, time.Second, time.Hour)
+	}
 	for _, seed := range s.Seeds {
 		c.address("seeds", seed)
 	}
@@ -102,6 +110,7 @@
 	c.duration("probe_interval", s.ProbeInterval, 50*time.Millisecond, time.Minute)
 	c.duration("claim_retention", s.ClaimRetention, time.Second, 24*time.Hour)
 	c.oneOf("claim_replicas", strconv.Itoa(s.ClaimReplicas), "1", "3", "5", "7")
+	c.number("store_watches", s.StoreWatches, 1, 1000)
 	c.number("claim_groups", s.ClaimGroups, 1, 1024)
 	c.number("maximum_claims", s.MaximumClaims, 100, 10000000)
 	if s.Role == RoleNode {
@@ -112,10 +121,25 @@
 	return c.err
 }
 
+func (s *Settings) checkRetryBudget(c *checker) {
+	budget := s.RetryBudget
+	if budget.Window == 0 {
+		return
+	}
+	ratio := strconv.FormatFloat(budget.Ratio, 'g', -1, 64)
+	c.require(budget.Ratio >= 0 && budget.Ratio <= 1, "retry_budget", ratio, "a ratio from 0 to 1")
+	c.number("retry_budget", budget.Slack, 0, 100000)
+	c.duration("retry_budget", budget.Window, time.Second, 10*time.Minute)
+}
+
 func (s *Settings) checkNode(c *checker) {
 	c.name("service", s.Service)
 	c.address("backend", s.Backend)
 	c.address("outbound", s.Outbound)
+	if s.Heartbeats != "" {
+		c.address("heartbeats", s.Heartbeats)
+	}
+	c.duration("backend_drain", s.BackendDrain, 2*time.Millisecond, time.Minute)
 	validPath := s.BackendHealthPath == "" || strings.HasPrefix(s.BackendHealthPath, "/")
 	c.require(validPath, "backend_health_path", s.BackendHealthPath, "a path that starts with /")
 	c.require(len(s.Routes) == 0, "routes", "routes", "routes only in the settings of a gateway")
--- a/settings/load.go
+++ b/settings/load.go
@@ -76,6 +76,7 @@
 	if strings.HasPrefix(message, "unknown field") {
 		message += "; allowed: " + strings.Join(keysOf[Settings](), ", ") +
 			"; in routes: " + strings.Join(keysOf[Route](), ", ") +
+			"; in retry_budget: " + strings.Join(keysOf[RetryBudget](), ", ") +
 			"; in log: " + strings.Join(keysOf[Log](), ", ")
 	}
 	return result.New(result.SettingsInvalid, "%s:%d: %s", file, line, message)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,12 @@
 	RoleGateway Role = "gateway" // the door for callers
 )
 
+// Interfaces of the store.
+const (
+	StoreConsul   = "consul"
+	StorePlatform = "platform"
+)
+
 // Settings configures one process. Addresses are host:port; port 0 picks a
 // free port.
 type Settings struct {
@@ -53,6 +59,25 @@
 	// Nodes only. Default "127.0.0.1:0".
 	Outbound string `yaml:"outbound"`
 
+	// Entry says that the outbound address also takes the requests of callers
+	// outside the mesh. Nodes only. Default false.
+	Entry bool `yaml:"entry"`
+
+	// Readiness is an address at which nothing but the readiness of the process
+	// is told, as the platform asks for it. Empty: none.
+	Readiness string `yaml:"readiness"`
+
+	// Heartbeats is the address to which the back end sends its heartbeats.
+	// Empty: it sends none, and the node looks after it by itself. Nodes only.
+	Heartbeats string `yaml:"heartbeats"`
+
+	// BackendDrain is the time within which a back end that said that it is
+	// leaving gets no more requests, 2ms to 1m. They end after half of it, so that
+	// those on their way arrive in time. Longer loses fewer offers to callers that
+	// have not heard of it; it must not be above what was promised to the back
+	// end. Default 2s.
+	BackendDrain Duration `yaml:"backend_drain"`
+
 	// Control is the address for messages between processes. Required.
 	Control string `yaml:"control"`
 
@@ -66,6 +91,11 @@
 	// defaults of the policy tree are in force.
 	Store string `yaml:"store"`
 
+	// StoreAPI is the interface that the store and the machine list speak:
+	// "consul", or "platform" for that of the users' platform (package platform).
+	// Default "consul".
+	StoreAPI string `yaml:"store_api"`
+
 	// MachineList is the base URL of the machine list. Empty: none.
 	MachineList string `yaml:"machine_list"`
 
@@ -76,6 +106,31 @@
 	// Log selects the form of the log.
 	Log Log `yaml:"log"`
 
+	// StopWithin is the time after which a process that was told to stop is
+	// killed, 1s to 1h. When it is set, the process ends before, and
+	// AnnounceTime and DrainTimeout are shares of it. 0: not known. Default 0.
+	StopWithin Duration `yaml:"stop_within"`
+
+	// StoreWatches is the number of processes that watch the store, 1 to 1000; the
+	// others hear of changes from them. More cost the store more calls, fewer let
+	// a change wait longer when those that watch are cut off from the store.
+	// Default 3.
+	StoreWatches int `yaml:"store_watches"`
+
+	// PolicyRequired says that the process takes no requests until the store or a
+	// peer has shown it a policy tree, instead of going by the defaults. Default
+	// false.
+	PolicyRequired bool `yaml:"policy_required"`
+
+	// Claims says that requests that may not be repeated run under claims of a
+	// majority of replicas, so that a caller may repeat them safely. Without
+	// them, each request of a caller is one of its own, and it is never sent
+	// again once it may have run. It must be equal in the whole mesh. Default true.
+	Claims bool `yaml:"claims"`
+
+	// RetryBudget bounds the repeated attempts of the whole mesh.
+	RetryBudget RetryBudget `yaml:"retry_budget"`
+
 	// AnnounceTime is how long a stopping process still takes requests while
 	// it tells its peers that it leaves, 0s to 1m. Longer loses fewer retries,
 	// shorter stops sooner. Default 1s.
@@ -108,6 +163,21 @@
 	MaximumClaims int `yaml:"maximum_claims"`
 }
 
+// RetryBudget bounds the attempts after the first that all processes together
+// send to one service. In each window they are at most Ratio times the requests
+// for the service, plus Slack.
+type RetryBudget struct {
+	// Ratio is the share of the requests, 0 to 1. Default 0.
+	Ratio float64 `yaml:"ratio"`
+	// Slack is the number of repeated attempts beyond that, 0 to 100000.
+	// Default 0.
+	Slack int `yaml:"slack"`
+	// Window is the length of a window, 1s to 10m. 0: there is no such bound,
+	// and each process bounds its own retries by retry_ratio of the policy tree.
+	// Default 0.
+	Window Duration `yaml:"window"`
+}
+
 // Route maps calls at a gateway to a service.
 type Route struct {
 	Host       string `yaml:"host"`        // exact Host without port; empty: any
@@ -127,6 +197,23 @@
 // Std returns the value as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
+// Shares of StopWithin. Requests are taken for a while, since callers look at the
+// readiness only now and then; the rest is for what is in flight then.
+const (
+	announceShare = 0.5
+	stopShare     = 0.9
+)
+
+// StopTimes returns how long a process that was told to stop still takes
+// requests, and how long it then waits for those in flight.
+func (s *Settings) StopTimes() (announce, drain time.Duration) {
+	if s.StopWithin == 0 {
+		return s.AnnounceTime.Std(), s.DrainTimeout.Std()
+	}
+	whole := float64(s.StopWithin.Std())
+	return time.Duration(whole * announceShare), time.Duration(whole * (stopShare - announceShare))
+}
+
 // Default returns the settings of a process whose file is empty.
 func Default(role Role) Settings {
 	return Settings{
@@ -136,7 +223,11 @@
 		Outbound:       "127.0.0.1:0",
 		Admin:          "127.0.0.1:0",
 		Log:            Log{Level: "info", Format: "text"},
+		StoreWatches:   3,
+		StoreAPI:       StoreConsul,
+		Claims:         true,
 		AnnounceTime:   Duration(time.Second),
+		BackendDrain:   Duration(2 * time.Second),
 		DrainTimeout:   Duration(30 * time.Second),
 		ProbeInterval:  Duration(time.Second),
 		ClaimRetention: Duration(10 * time.Minute),
--- a/store/store.go
+++ b/store/store.go
@@ -68,6 +68,15 @@
 	State   MachineState
 }
 
+// Registry is where processes enter themselves, so that others find them in the
+// MachineList. Both may be one service.
+type Registry interface {
+	// Register enters a process, over what is there for its control address.
+	Register(ctx context.Context, machine Machine) error
+	// Deregister removes the entry of a control address.
+	Deregister(ctx context.Context, control string) error
+}
+
 // MachineList is the platform's list of machines. It lags: a machine on it may
 // be gone, and a new one may be missing.
 type MachineList interface {
--- /dev/null
+++ b/wire/dialect.go
@@ -0,0 +1,72 @@
+package wire
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Dialect names the headers in which callers and back ends speak of what
+// loomcleat needs to know. An empty name: they do not speak of it. The zero
+// Dialect is that of plain HTTP.
+type Dialect struct {
+	// RequestID is the caller's name for one request. It is passed on, and each
+	// answer of a back end must carry it back.
+	RequestID string
+	// Remaining is the time that the caller will wait, in whole milliseconds.
+	// It is set anew on each request to a back end.
+	Remaining string
+	// CallerService is set on requests to back ends: the service that is next
+	// to where the request began.
+	CallerService string
+	// ExpectInstance is set on requests to back ends: the only incarnation that
+	// may run the request.
+	ExpectInstance string
+	// Instance is, on answers of back ends, the incarnation that answers.
+	Instance string
+	// NotRun is, on answers of back ends, the promise that the request was not
+	// run and will not be.
+	NotRun string
+	// Seal is, on answers of back ends, their signature. An answer that carries
+	// it is passed on unchanged.
+	Seal string
+	// ParentID guesses from the name of a request the name of the one that it
+	// was made for. Nil: requests do not show it. A guess only links requests
+	// that meet at one node; nothing may depend on it.
+	ParentID func(requestID string) (parentID string, ok bool)
+}
+
+// HasRequestID reports whether requests have names.
+func (d *Dialect) HasRequestID() bool { return d.RequestID != "" }
+
+// ReadRemaining returns the time that the caller will wait, and false when it
+// does not say.
+func (d *Dialect) ReadRemaining(header http.Header) (time.Duration, bool) {
+	if d.Remaining == "" {
+		return 0, false
+	}
+	milliseconds, err := strconv.ParseInt(header.Get(d.Remaining), 10, 64)
+	if err != nil || milliseconds < 0 || milliseconds > maximumRemaining.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(milliseconds) * time.Millisecond, true
+}
+
+// maximumRemaining bounds what a caller may say of the time that it will wait.
+const maximumRemaining = 24 * time.Hour
+
+// WriteRemaining sets the time that is left. It rounds down, so that a back end
+// never gets more than there is.
+func (d *Dialect) WriteRemaining(header http.Header, left time.Duration) {
+	if d.Remaining != "" {
+		header.Set(d.Remaining, strconv.FormatInt(max(left.Milliseconds(), 0), 10))
+	}
+}
+
+// IsNotRun reports whether a back end promises that it did not run the request.
+func (d *Dialect) IsNotRun(answer *http.Response) bool {
+	if d.NotRun == "" {
+		return false
+	}
+	return answer.Header.Get(d.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+}
--- /dev/null
+++ b/wire/dialect_test.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestReadRemaining(t *testing.T) {
+	cases := []struct {
+		text string
+		want time.Duration
+		ok   bool
+	}{
+		{"1500", 1500 * time.Millisecond, true},
+		{"0", 0, true},
+		{"", 0, false},
+		{"-1", 0, false},
+		{"1.5", 0, false},
+		{"99999999999999999999", 0, false},
+		{"9223372036854775807", 0, false}, // would overflow
+	}
+	dialect := Dialect{Remaining: "Left"}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			is := is.New(t)
+			got, ok := dialect.ReadRemaining(http.Header{"Left": {c.text}})
+			is.Equal(got, c.want)
+			is.Equal(ok, c.ok)
+		})
+	}
+	is := is.New(t)
+	_, ok := (&Dialect{}).ReadRemaining(http.Header{"Left": {"5"}})
+	is.True(!ok) // this dialect does not speak of time
+}
+
+func TestWriteRemainingNeverGivesMoreThanThereIs(t *testing.T) {
+	is := is.New(t)
+	dialect := Dialect{Remaining: "Left"}
+	header := http.Header{}
+	dialect.WriteRemaining(header, 1999*time.Microsecond)
+	is.Equal(header.Get("Left"), "1")
+	dialect.WriteRemaining(header, -time.Second)
+	is.Equal(header.Get("Left"), "0")
+}
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -35,6 +35,9 @@
 	HeaderClaimKey = "Loomcleat-Claim-Key"
 	// HeaderHops is the number of calls above this one in the call graph.
 	HeaderHops = "Loomcleat-Hops"
+	// HeaderRepeat is "1" when this attempt, or one above it in the call graph,
+	// is not the first of its request.
+	HeaderRepeat = "Loomcleat-Repeat"
 )
 
 // Headers on answers between processes.
