A wait for the store is watched over by cheap reads

Ruled out: short waits, 12 times the calls of the long ones. Change: while a wait is open, a stale read each second; one that fails and then one that succeeds, or one that shows a later index, ends the wait and reads anew. Test: a store that never answers waits (plugin/configsync), and package spread.

--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -16,9 +15,7 @@
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
-	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/spread"
-	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -27,7 +24,7 @@
 func init() { kernel.Register(name, kernel.StageServices, setup) }
 
 func setup(process *kernel.Process) error {
-	s := &synchronizer{process: process, documents: map[wire.DocumentName]*document{
+	s := &synchronizer{process: process, probeInterval: probeInterval, documents: map[wire.DocumentName]*document{
 		wire.DocumentPolicy: {name: wire.DocumentPolicy, key: editor.Key, revisionOf: policyRevision},
 	}}
 	if process.Settings.Claims {
@@ -85,6 +82,8 @@
 	process   *kernel.Process
 	documents map[wire.DocumentName]*document
 	confirmed atomic.Bool // the policy is as new as the store's or a peer's
+	// probeInterval is the time between two probes of the store during a wait.
+	probeInterval time.Duration
 }
 
 // Revisions implements kernel.Documents.
@@ -142,97 +141,3 @@
 		s.process.Log.Emit(event.DocumentAdopted, "document", string(d.name), "revision", revision, "from", from)
 	})
 }
-
-// Watching of the store.
-const (
-	watchWait      = 20 * time.Second
-	idleWait       = time.Second // of processes that do not watch
-	firstBackoff   = 200 * time.Millisecond
-	maximumBackoff = 5 * time.Second
-)
-
-// watch follows one document in the store while it is this process's turn, and
-// until the policy is confirmed at the start.
-func (s *synchronizer) watch(ctx context.Context, d *document) {
-	position := uint64(0)
-	failures := 0
-	active := false
-	for ctx.Err() == nil {
-		wanted := !s.confirmed.Load() || s.watches()
-		if wanted != active {
-			active = wanted
-			s.process.Log.Emit(event.StoreWatchChanged, "document", string(d.name), "watching", active)
-		}
-		if !active {
-			position = 0
-			pause(ctx, idleWait)
-			continue
-		}
-		next, err := s.watchOnce(ctx, d, position)
-		if err != nil {
-			failures++
-			s.logStore(ctx, d, failures, err)
-			position = 0
-			pause(ctx, backoff(failures))
-			continue
-		}
-		if failures > 0 {
-			s.process.Log.Emit(event.StoreRecovered, "document", string(d.name))
-			failures = 0
-		}
-		position = next
-	}
-}
-
-func (s *synchronizer) logStore(ctx context.Context, d *document, failures int, err error) {
-	if failures == 1 && ctx.Err() == nil {
-		s.process.Log.Emit(event.StoreUnreachable, "code", int(result.StoreUnavailable), "document", string(d.name), "error", err)
-	}
-}
-
-// watchOnce waits for one change and returns the position after it.
-func (s *synchronizer) watchOnce(ctx context.Context, d *document, position uint64) (uint64, error) {
-	entry, err := s.read(ctx, d, position)
-	if err != nil {
-		return 0, err
-	}
-	if entry.Exists {
-		if err := s.offer(ctx, d, entry.Value, "store"); err != nil {
-			return 0, err
-		}
-	}
-	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
-		s.confirmed.Store(true)
-	}
-	if entry.Watch < position {
-		return 0, nil // the store went back: read it anew
-	}
-	return max(entry.Watch, 1), nil
-}
-
-// read reads the document at once, or waits for its next change.
-func (s *synchronizer) read(ctx context.Context, d *document, position uint64) (store.Entry, error) {
-	if position == 0 {
-		return s.process.Store.Get(ctx, d.key)
-	}
-	return s.process.Store.Watch(ctx, d.key, position, watchWait)
-}
-
-// watches reports whether this process is one of those that watch the store.
-func (s *synchronizer) watches() bool {
-	return spread.Watches(s.process.ID, kernel.LiveIDs(*s.process.Members.Load()), s.process.Settings.StoreWatches)
-}
-
-func backoff(failures int) time.Duration {
-	limit := min(firstBackoff<<min(failures, 6), maximumBackoff)
-	return limit/2 + rand.N(limit/2)
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/plugin/configsync/watch_test.go
@@ -0,0 +1,99 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	_ "github.com/loomcleat/loomcleat/plugin/membership"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/store"
+)
+
+// silentStore never answers a wait, as a store does that was away since. Reads
+// fail while it is down.
+type silentStore struct {
+	mutex    sync.Mutex
+	down     bool
+	revision uint64
+	peeks    chan struct{}
+}
+
+func (s *silentStore) set(down bool, revision uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down, s.revision = down, revision
+}
+
+func (s *silentStore) Get(context.Context, string) (store.Entry, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return store.Entry{}, result.New(result.StoreUnavailable, "down")
+	}
+	document := policy.Document{Revision: s.revision}
+	data, err := document.Encode()
+	return store.Entry{Value: data, Index: s.revision, Exists: true, Watch: s.revision}, err
+}
+
+func (s *silentStore) Peek(context.Context, string) (uint64, error) {
+	defer func() { s.peeks <- struct{}{} }()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return 0, result.New(result.StoreUnavailable, "down")
+	}
+	return 1, nil // an old answer, always
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Entry, error) {
+	<-ctx.Done()
+	return store.Entry{}, result.Wrap(result.StoreUnavailable, ctx.Err(), "no answer")
+}
+
+func (s *silentStore) CompareAndSwap(context.Context, string, []byte, uint64) (bool, error) {
+	return false, result.New(result.StoreUnavailable, "read only")
+}
+
+func (s *silentStore) AcquireLease(context.Context, string, string, time.Duration) (store.Lease, bool, error) {
+	return nil, false, result.New(result.StoreUnavailable, "read only")
+}
+
+// TestAStoreThatWasAwayIsReadAnew: the store is away for a while, and after that
+// it never answers the wait that was open; it also shows old states to probes.
+func TestAStoreThatWasAwayIsReadAnew(t *testing.T) {
+	is := is.New(t)
+	down := &silentStore{revision: 5, peeks: make(chan struct{}, 1000)}
+	s := settings.Default(settings.RoleGateway)
+	s.Listen, s.Control, s.Claims = "127.0.0.1:0", "127.0.0.1:0", false
+	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: down})
+	is.NoErr(err)
+	documents, _ := process.Documents.(*synchronizer)
+	documents.probeInterval = 5 * time.Millisecond
+	go func() { _ = process.Start(t.Context()) }()
+	t.Cleanup(process.Kill)
+
+	await := func(revision uint64) {
+		for process.Documents.Revisions().Policy != revision {
+			select {
+			case <-time.After(time.Millisecond):
+			case <-t.Context().Done():
+				t.Fatalf("revision %d was not adopted", revision)
+			}
+		}
+	}
+	await(5)
+	down.set(true, 5)
+	for range 3 {
+		<-down.peeks
+	}
+	down.set(false, 6)
+	await(6)
+}
