Waits for the store are short, and a process that peers do not vouch for looks itself

Change: four processes wait 0.7 s at a time, and a wait that is not answered is followed by a read; messages carry how long ago the sender knew that its policy was the newest; a process that has not heard that from a peer for 2.5 s watches too. The cheap reads are removed.

--- a/plugin/configsync/peers.go
+++ b/plugin/configsync/peers.go
@@ -20,6 +20,7 @@
 			go s.pull(peer, d)
 		}
 	}
+	s.vouched(revisions)
 	policyKnown := s.documents[wire.DocumentPolicy].revision.Load()
 	if revisions.Confirmed && revisions.Policy <= policyKnown {
 		s.confirmed.Store(true)
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,7 @@
 func init() { kernel.Register(name, kernel.StageServices, setup) }
 
 func setup(process *kernel.Process) error {
-	s := &synchronizer{process: process, probeInterval: probeInterval, documents: map[wire.DocumentName]*document{
+	s := &synchronizer{process: process, documents: map[wire.DocumentName]*document{
 		wire.DocumentPolicy: {name: wire.DocumentPolicy, key: editor.Key, revisionOf: policyRevision},
 	}}
 	if process.Settings.Claims {
@@ -79,11 +80,11 @@
 
 // synchronizer keeps the documents of one process.
 type synchronizer struct {
-	process   *kernel.Process
-	documents map[wire.DocumentName]*document
-	confirmed atomic.Bool // the policy is as new as the store's or a peer's
-	// probeInterval is the time between two probes of the store during a wait.
-	probeInterval time.Duration
+	process       *kernel.Process
+	documents     map[wire.DocumentName]*document
+	confirmed     atomic.Bool // the policy is as new as the store's or a peer's
+	freshnessLock sync.Mutex
+	freshness     spread.Freshness // of the policy
 }
 
 // Revisions implements kernel.Documents.
@@ -92,6 +93,9 @@
 		Policy:    s.documents[wire.DocumentPolicy].revision.Load(),
 		Confirmed: s.confirmed.Load(),
 	}
+	if age, known := s.age(); known {
+		revisions.Age = max(age.Milliseconds(), 1)
+	}
 	if groups, exists := s.documents[wire.DocumentGroups]; exists {
 		revisions.Groups = groups.revision.Load()
 	}
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -15,13 +15,12 @@
 
 // Watching of the store.
 const (
-	watchWait      = 20 * time.Second
-	idleWait       = time.Second            // of processes that do not watch
+	watchWait      = 700 * time.Millisecond // a wait may never be answered, so that it must be short
+	answerTime     = 500 * time.Millisecond // on top of it
+	idleWait       = 200 * time.Millisecond // of processes that do not watch
 	gatherTime     = 100 * time.Millisecond // after a change, to read several in quick succession at once
 	firstBackoff   = 100 * time.Millisecond
 	maximumBackoff = time.Second
-	probeInterval  = time.Second
-	probeTimeout   = 800 * time.Millisecond
 )
 
 // watcher follows one document in the store.
@@ -31,7 +30,6 @@
 	position     uint64 // to wait from, 0: read at once
 	failures     int    // in a row
 	active       bool
-	probe        spread.Probe
 }
 
 // watch follows one document in the store while it is this process's turn, and
@@ -68,9 +66,10 @@
 	return wanted
 }
 
-// watches reports whether this process is one of those that watch the store.
+// watches reports whether this process is one of those that watch the store, or
+// is left alone by them.
 func (s *synchronizer) watches() bool {
-	return spread.Watches(s.process.ID, kernel.LiveIDs(*s.process.Members.Load()), s.process.Settings.StoreWatches)
+	return !s.isVouched() || spread.Watches(s.process.ID, kernel.LiveIDs(*s.process.Members.Load()), s.process.Settings.StoreWatches)
 }
 
 func (w *watcher) failed(ctx context.Context, err error) {
@@ -94,16 +93,17 @@
 // once reads the document, or waits for its next change, and moves the position.
 func (w *watcher) once(ctx context.Context) error {
 	s, d := w.synchronizer, w.document
+	asked := time.Now()
 	entry, err := w.read(ctx)
 	if err != nil {
 		return err
 	}
-	w.probe.Known(entry.Index)
 	if entry.Exists {
 		if err := s.offer(ctx, d, entry.Value, "store"); err != nil {
 			return err
 		}
 	}
+	s.verified(d, asked)
 	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
 		s.confirmed.Store(true)
 	}
@@ -115,53 +115,21 @@
 	return nil
 }
 
-// read reads the document at once, or waits for its next change. The wait ends
-// early when the probe finds that nobody may be going to answer it.
+// read reads the document at once, or waits for its next change.
 func (w *watcher) read(ctx context.Context) (store.Entry, error) {
 	s, d := w.synchronizer, w.document
 	if w.position == 0 {
 		return s.process.Store.Get(ctx, d.key)
 	}
-	waiting, stop := context.WithCancel(ctx)
-	probed := make(chan struct{})
-	go func() {
-		defer close(probed)
-		w.watchOver(waiting, stop)
-	}()
+	waiting, cancel := context.WithTimeout(ctx, watchWait+answerTime)
+	defer cancel()
 	entry, err := s.process.Store.Watch(waiting, d.key, w.position, watchWait)
-	abandoned := waiting.Err() != nil && ctx.Err() == nil
-	stop()
-	<-probed
-	if err != nil && abandoned {
-		return s.process.Store.Get(ctx, d.key)
+	if err != nil && ctx.Err() == nil && waiting.Err() != nil {
+		return s.process.Store.Get(ctx, d.key) // whoever was to answer may be gone
 	}
 	return entry, err
 }
 
-// watchOver probes the store while a wait is open, and stops the wait when the
-// document should be read anew.
-func (w *watcher) watchOver(ctx context.Context, stop context.CancelFunc) {
-	s := w.synchronizer
-	for {
-		pause(ctx, s.probeInterval)
-		if ctx.Err() != nil {
-			return
-		}
-		probing, cancel := context.WithTimeout(ctx, probeTimeout)
-		index, err := s.process.Store.Peek(probing, w.document.key)
-		cancel()
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err != nil:
-			w.probe.Failed()
-		case w.probe.Answered(index):
-			stop()
-			return
-		}
-	}
-}
-
 func backoff(failures int) time.Duration {
 	limit := min(firstBackoff<<min(failures, 6), maximumBackoff)
 	return limit/2 + rand.N(limit/2)
--- a/store/consulkv/store.go
+++ b/store/consulkv/store.go
@@ -35,12 +35,6 @@
 	return c.read(ctx, key, url.Values{"consistent": {""}}, 0)
 }
 
-// Peek implements store.Store.
-func (c *Client) Peek(ctx context.Context, key string) (uint64, error) {
-	entry, err := c.read(ctx, key, url.Values{"stale": {""}}, 0)
-	return entry.Index, err
-}
-
 // Watch implements store.Store by a blocking query.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Entry, error) {
 	query := url.Values{
--- a/store/store.go
+++ b/store/store.go
@@ -28,10 +28,6 @@
 	// Get reads one key. A key that does not exist is not an error.
 	Get(ctx context.Context, key string) (Entry, error)
 
-	// Peek reads the index of one key, 0 when it does not exist. It costs little
-	// and may show an older state, but never one that has not been.
-	Peek(ctx context.Context, key string) (index uint64, err error)
-
 	// CompareAndSwap writes value if the key still has the given index; index 0
 	// means that the key must not exist. It reports whether it wrote.
 	CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error)
--- a/store/storetest/contract.go
+++ b/store/storetest/contract.go
@@ -109,9 +109,6 @@
 	is.NoErr(err)
 	is.True(!entry.Exists)
 	is.Equal(entry.Index, uint64(0))
-	peeked, err := s.Store.Peek(t.Context(), "contract/missing")
-	is.NoErr(err)
-	is.Equal(peeked, uint64(0))
 }
 
 func testCompareAndSwap(t *testing.T, s Subject) {
@@ -132,9 +129,6 @@
 	wrote, err = s.Store.CompareAndSwap(ctx, "contract/a b?c", []byte("three"), first.Index)
 	is.NoErr(err)
 	is.True(!wrote) // the index has moved
-	peeked, err := s.Store.Peek(ctx, "contract/a b?c")
-	is.NoErr(err)
-	is.True(peeked >= first.Index)
 	second, err := s.Store.Get(ctx, "contract/a b?c")
 	is.NoErr(err)
 	is.Equal(string(second.Value), "two")
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -36,6 +36,9 @@
 	// Confirmed says that the policy is known to be as new as that of the store
 	// or of another process since the start.
 	Confirmed bool `json:"confirmed,omitempty"`
+	// Age is how long ago the sender knew that its policy was the newest one, in
+	// milliseconds, at least 1. 0: it never did.
+	Age int64 `json:"age,omitempty"`
 }
 
 // Of returns the revision of one document.
