Committed calls wait for a place, the others keep a share, and routes have gates

Change: a call for which other services have worked is not refused by levels and waits while it has time; requests that begin at a service keep a fifth of its places; answers carry the pressure that they met, and a gate for each route at the entry admits a share that follows it slowly; what comes back when it was told to goes first, what does not wait goes last; 0.94 of a back end's slots are used. The test of split positions asked for a share that chance misses; it now bounds the number of requests off the weight, which is stricter for long runs.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -29,14 +29,22 @@
 
 // ask asks at a time after the start, with a deadline after that time.
 func (d *desk) ask(at time.Duration, name string, priority int, left time.Duration) {
-	now := epoch.Add(at)
-	d.tickets[name] = d.Ask(now, priority, now.Add(left), func(verdict Verdict) {
+	d.request(at, name, Request{Priority: priority, Deadline: epoch.Add(at + left)})
+}
+
+// askCommitted asks for a request for which other services have worked.
+func (d *desk) askCommitted(at time.Duration, name string, priority int, left time.Duration) {
+	d.request(at, name, Request{Priority: priority, Deadline: epoch.Add(at + left), Committed: true})
+}
+
+func (d *desk) request(at time.Duration, name string, request Request) {
+	d.tickets[name] = d.Ask(epoch.Add(at), request, func(verdict Verdict) {
 		d.verdicts = append(d.verdicts, name+" "+verdictNames[verdict])
 	})
 }
 
 func (d *desk) done(at time.Duration, own time.Duration) {
-	d.Done(epoch.Add(at), own, false, true)
+	d.Done(epoch.Add(at), &Ticket{}, Outcome{Own: own, Counted: true})
 }
 
 const ms = time.Millisecond
@@ -93,6 +101,26 @@
 			d.ask(ms, "d", 200, time.Second)
 			d.ask(ms, "e", 400, time.Second)
 		}, "a in, c full"},
+		{"the committed before others of the class", func(d *desk) {
+			d.ask(0, "a", 0, time.Second)
+			d.ask(ms, "high", 200, time.Second)
+			d.askCommitted(ms, "committed", 100, time.Second)
+			d.done(2*ms, ms)
+			d.done(3*ms, ms)
+		}, "a in, committed in, high in"},
+		{"but not before a higher class", func(d *desk) {
+			d.ask(0, "a", 0, time.Second)
+			d.ask(ms, "higher", 300, time.Second)
+			d.askCommitted(ms, "committed", 100, time.Second)
+			d.done(2*ms, ms)
+		}, "a in, higher in"},
+		{"the committed waits as long as it has time", func(d *desk) {
+			d.ask(0, "a", 0, time.Second)
+			d.askCommitted(ms, "committed", 0, time.Second)
+			d.ask(ms, "b", 0, time.Second)
+			d.Expire(epoch.Add(900 * ms))
+			d.done(901*ms, ms)
+		}, "a in, b full, committed in"},
 		{"a withdrawn request is not started", func(d *desk) {
 			d.ask(0, "a", 0, time.Second)
 			d.ask(ms, "b", 0, time.Second)
@@ -132,7 +160,7 @@
 			}
 			for _, priority := range priorities {
 				now := epoch.Add(at)
-				d.Ask(now, priority, now.Add(time.Second), func(verdict Verdict) {
+				d.Ask(now, Request{Priority: priority, Deadline: now.Add(time.Second)}, func(verdict Verdict) {
 					if verdict == Admitted {
 						admitted[ClassOf(priority)]++
 					}
@@ -219,10 +247,10 @@
 	say := func(name string) func(Verdict) {
 		return func(verdict Verdict) { fmt.Println(name, verdict == Admitted) }
 	}
-	controller.Ask(now, Priority(1, "first"), deadline, say("first"))
-	controller.Ask(now, Priority(1, "second"), deadline, say("second"))
-	controller.Ask(now, Priority(3, "payment"), deadline, say("payment"))
-	controller.Done(now.Add(time.Millisecond), time.Millisecond, false, true)
+	ticket := controller.Ask(now, Request{Priority: Priority(1, "first"), Deadline: deadline}, say("first"))
+	controller.Ask(now, Request{Priority: Priority(1, "second"), Deadline: deadline}, say("second"))
+	controller.Ask(now, Request{Priority: Priority(3, "payment"), Deadline: deadline}, say("payment"))
+	controller.Done(now.Add(time.Millisecond), ticket, Outcome{Own: time.Millisecond, Counted: true})
 	// Output:
 	// first true
 	// payment true
@@ -231,8 +259,8 @@
 func BenchmarkAskAndDone(b *testing.B) {
 	controller := NewController(epoch, Config{})
 	for b.Loop() {
-		controller.Ask(epoch, 500, epoch.Add(time.Second), func(Verdict) {})
-		controller.Done(epoch, ms, false, true)
+		ticket := controller.Ask(epoch, Request{Priority: 500, Deadline: epoch.Add(time.Second)}, func(Verdict) {})
+		controller.Done(epoch, ticket, Outcome{Own: ms, Counted: true})
 	}
 }
 
@@ -248,3 +276,42 @@
 	}
 	is.True(limit.Current() > 5)
 }
+
+// TestFreshRequestsKeepAShare: a back end that is busy with committed requests
+// all the time still serves the others of their class.
+func TestFreshRequestsKeepAShare(t *testing.T) {
+	is := is.New(t)
+	controller := NewController(epoch, Config{MaximumLimit: 10, FixedLimit: true, QueueTime: time.Second})
+	running := []*Ticket{}
+	served := map[bool]int{}
+	ask := func(now time.Time, committed bool) {
+		request := Request{Priority: 300, Deadline: now.Add(time.Second), Committed: committed}
+		var ticket *Ticket
+		admitted := false
+		ticket = controller.Ask(now, request, func(verdict Verdict) {
+			admitted = verdict == Admitted
+			if admitted && ticket != nil {
+				running = append(running, ticket)
+			}
+		})
+		if admitted {
+			running = append(running, ticket)
+		}
+	}
+	for i := range 2000 {
+		now := epoch.Add(time.Duration(i) * ms)
+		ask(now, true)
+		ask(now, true)
+		ask(now, false)
+		if len(running) > 0 {
+			ended := running[0]
+			running = running[1:]
+			served[ended.Committed]++
+			controller.Done(now, ended, Outcome{Own: 10 * ms, Counted: true})
+		}
+	}
+	total := served[true] + served[false]
+	t.Logf("served %v", served)
+	is.True(served[false] > total/10)
+	is.True(served[true] > total/2)
+}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -53,10 +53,26 @@
 	}
 }
 
+// Request is what a Controller needs to know of a request.
+type Request struct {
+	// Priority is that of the user request, 0 to MaximumPriority.
+	Priority int
+	// Deadline is when its answer must be complete, zero for never.
+	Deadline time.Time
+	// Committed says that other services have worked for the user request
+	// already, and that this work is lost if the request is refused. It goes
+	// before requests of its class that are not, it is not refused by the level,
+	// and it may wait as long as its deadline allows.
+	Committed bool
+	// Patience is how long it may wait, if that is more than the usual time of the
+	// back end and Config.QueueTime. 0: it is not known.
+	Patience time.Duration
+}
+
 // Ticket is a request that was admitted or waits.
 type Ticket struct {
-	priority int
-	deadline time.Time
+	Request
+	asked    time.Time
 	expires  time.Time // end of its time in the queue
 	sequence uint64
 	position int // in the heap, -1 when not queued
@@ -70,6 +86,7 @@
 	limit    *Limit
 	level    *levelControl
 	inFlight int
+	fresh    int // in flight and not committed
 	queue    ticketHeap
 	sequence uint64
 	own      float64 // smoothed own time of the back end, seconds
@@ -97,12 +114,12 @@
 // before Ask returns or later from Done or Expire; it must not block and must
 // not call the Controller. The returned Ticket is passed to Withdraw by a
 // caller that stops waiting.
-func (c *Controller) Ask(now time.Time, priority int, deadline time.Time, decided func(Verdict)) *Ticket {
+func (c *Controller) Ask(now time.Time, request Request, decided func(Verdict)) *Ticket {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.level.adjust(now, c.room())
-	ticket := &Ticket{priority: priority, deadline: deadline, position: -1, decided: decided}
-	c.level.arrived(priority)
+	ticket := &Ticket{Request: request, asked: now, position: -1, decided: decided}
+	c.level.arrived(request.Priority)
 	if verdict := c.screen(now, ticket); verdict != Admitted {
 		decided(verdict)
 		return ticket
@@ -117,7 +134,7 @@
 
 // screen refuses what need not queue.
 func (c *Controller) screen(now time.Time, ticket *Ticket) Verdict {
-	if !c.config.Unordered && ticket.priority < c.level.current {
+	if !c.config.Unordered && !ticket.Committed && ticket.Priority < c.level.current && !c.hasFreshShare() {
 		c.level.refused++
 		return BelowLevel
 	}
@@ -131,10 +148,10 @@
 const lateShare = 0.5
 
 func (c *Controller) tooLate(now time.Time, ticket *Ticket) bool {
-	if ticket.deadline.IsZero() {
+	if ticket.Deadline.IsZero() {
 		return false
 	}
-	left := ticket.deadline.Sub(now).Seconds()
+	left := ticket.Deadline.Sub(now).Seconds()
 	return left <= 0 || left < lateShare*c.own
 }
 
@@ -154,11 +171,23 @@
 // start admits a request. The mutex is held.
 func (c *Controller) start(now time.Time, ticket *Ticket) {
 	c.inFlight++
+	if !ticket.Committed {
+		c.fresh++
+	}
 	c.limit.Started(c.inFlight)
 	c.level.started()
+	if now.Sub(ticket.asked) > c.delayTarget() {
+		c.level.delayed++
+	}
 	ticket.decided(Admitted)
 }
 
+// delayTarget is the time in the queue from which on the queue is too long: the
+// configured one, or the usual time of the back end when that is longer.
+func (c *Controller) delayTarget() time.Duration {
+	return max(c.config.QueueTime, time.Duration(c.own*float64(time.Second)))
+}
+
 // enqueue lets a request wait, and refuses the least important one when the
 // queue is full.
 func (c *Controller) enqueue(now time.Time, ticket *Ticket) {
@@ -169,15 +198,26 @@
 	}
 	c.sequence++
 	ticket.sequence = c.sequence
-	ticket.expires = now.Add(c.patience(ticket))
+	ticket.expires = now.Add(c.patience(now, ticket))
 	c.queue.unordered = c.config.Unordered
 	heap.Push(&c.queue, ticket)
 	c.dropExpired(now)
 	if len(c.queue.tickets) > c.queueLimit() {
-		c.drop(c.queue.worst(), QueueFull)
+		c.drop(c.victim(), QueueFull)
 	}
 }
 
+// victim returns the request that a full queue gives up: the last one, unless
+// those that are not committed are few already.
+func (c *Controller) victim() *Ticket {
+	if float64(c.queue.fresh()) <= freshShare*float64(c.queueLimit()) {
+		if worst := c.queue.worstCommitted(); worst != nil {
+			return worst
+		}
+	}
+	return c.queue.worst()
+}
+
 // criticalPatience is how many usual times of the back end a request of the
 // highest class may wait. It is served first, so that waiting costs the others
 // nothing, and it is refused only when it cannot finish in time.
@@ -186,12 +226,15 @@
 // patience is how long a request may wait: the configured time, or the usual
 // time of the back end when that is longer, since places become free at its
 // pace.
-func (c *Controller) patience(ticket *Ticket) time.Duration {
+func (c *Controller) patience(now time.Time, ticket *Ticket) time.Duration {
+	if ticket.Committed && !ticket.Deadline.IsZero() && !c.config.Unordered {
+		return ticket.Deadline.Sub(now)
+	}
 	usual := time.Duration(c.own * float64(time.Second))
-	if ClassOf(ticket.priority) == classes-1 && !c.config.Unordered {
+	if ClassOf(ticket.Priority) == classes-1 && !c.config.Unordered {
 		usual *= criticalPatience
 	}
-	return max(c.config.QueueTime, usual)
+	return max(c.config.QueueTime, usual, ticket.Patience)
 }
 
 // queueLimit bounds the queue by the number in flight: more cannot be served
@@ -228,16 +271,28 @@
 	return true
 }
 
-// Done ends a request that was admitted. own is the time that the back end
-// itself took; refused says that the back end refused it as overloaded; counted
-// is false when the time says nothing, for example after a broken connection.
-func (c *Controller) Done(now time.Time, own time.Duration, refused, counted bool) {
+// Outcome is how an admitted request ended.
+type Outcome struct {
+	// Own is the time that the back end itself took.
+	Own time.Duration
+	// Refused says that the back end refused the request as overloaded.
+	Refused bool
+	// Counted is false when the time says nothing, for example after a broken
+	// connection.
+	Counted bool
+}
+
+// Done ends a request that was admitted.
+func (c *Controller) Done(now time.Time, ticket *Ticket, outcome Outcome) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.inFlight--
-	if counted {
-		c.limit.Finished(now, own, refused)
-		c.learnOwn(own, refused)
+	if !ticket.Committed {
+		c.fresh--
+	}
+	if outcome.Counted {
+		c.limit.Finished(now, outcome.Own, outcome.Refused)
+		c.learnOwn(outcome.Own, outcome.Refused)
 	}
 	c.dispatch(now)
 	c.level.adjust(now, c.room())
@@ -256,11 +311,39 @@
 func (c *Controller) dispatch(now time.Time) {
 	c.dropExpired(now)
 	for c.inFlight < c.limitNow() && len(c.queue.tickets) > 0 {
-		next, _ := heap.Pop(&c.queue).(*Ticket)
+		next := c.next()
+		heap.Remove(&c.queue, next.position)
 		c.start(now, next)
 	}
 }
 
+// freshShare is the share of the limit that requests get which are not
+// committed, while they wait, before committed ones of their class. Without it,
+// a back end that serves both would serve the committed only.
+const freshShare = 0.2
+
+// hasFreshShare reports whether there is room in the share of those that are not
+// committed, beside committed requests that take up the rest.
+func (c *Controller) hasFreshShare() bool {
+	limit := c.limitNow()
+	if limit == 1 || c.fresh == c.inFlight {
+		return false
+	}
+	return float64(c.fresh+1) <= max(freshShare*float64(limit), 1)
+}
+
+// next returns the waiting request to start.
+func (c *Controller) next() *Ticket {
+	first := c.queue.tickets[0]
+	if !first.Committed || !c.hasFreshShare() {
+		return first
+	}
+	if best := c.queue.bestFresh(); best != nil && ClassOf(best.Priority) >= ClassOf(first.Priority) {
+		return best
+	}
+	return first
+}
+
 // Expire refuses queued requests whose time has passed. Call it every few
 // milliseconds while Waiting is not 0.
 func (c *Controller) Expire(now time.Time) {
--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,75 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// playGate offers requests at a rate to a service that serves capacity of them
+// a second and queues the rest. The pressure is seen a while later.
+func playGate(gate *Gate, seconds int, rate, capacity float64) (served, admitted float64) {
+	const (
+		step  = 10 * time.Millisecond
+		delay = 50 // steps until the pressure is seen
+	)
+	queue, offered := 0.0, 0.0
+	waits := []float64{}
+	for i := range seconds * 100 {
+		now := epoch.Add(time.Duration(i) * step)
+		for offered += rate / 100; offered >= 1; offered-- {
+			rank := float64(i*37%101) / 101
+			if gate.Admit(now, rank) {
+				admitted++
+				queue++
+			}
+		}
+		done := min(queue, capacity/100)
+		served += done
+		queue -= done
+		waits = append(waits, queue/capacity/0.05) // multiples of 50ms
+		if i >= delay {
+			gate.Done(now, waits[i-delay])
+		}
+	}
+	return served, admitted
+}
+
+func TestGateAdmitsWhatCanBeServed(t *testing.T) {
+	cases := []struct {
+		name      string
+		rate      float64
+		least     float64 // served as a share of what could be
+		mostShare float64 // in the end
+	}{
+		{"less than fits", 80, 0.99, 1},
+		{"half as much again", 150, 0.9, 0.9},
+		{"three times as much", 300, 0.9, 0.5},
+		{"ten times as much", 1000, 0.9, 0.2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			gate := NewGate(epoch, GateConfig{})
+			served, admitted := playGate(gate, 60, c.rate, 100)
+			t.Logf("served %.0f, admitted %.0f, share %.2f", served, admitted, gate.Share())
+			is.True(served >= c.least*60*min(c.rate, 100))
+			is.True(gate.Share() <= c.mostShare)
+		})
+	}
+}
+
+func TestGateOpensWhenThePressureEnds(t *testing.T) {
+	is := is.New(t)
+	gate := NewGate(epoch, GateConfig{})
+	for i := range 400 {
+		gate.Done(epoch.Add(time.Duration(i)*20*ms), 5)
+	}
+	is.True(gate.Share() < 0.1)
+	is.True(!gate.Admit(epoch.Add(8*time.Second), 0.5))
+	for i := range 500 {
+		gate.Admit(epoch.Add(8*time.Second+time.Duration(i)*20*ms), 0.99)
+	}
+	is.Equal(gate.Share(), 1.0)
+}
--- a/admission/level.go
+++ b/admission/level.go
@@ -5,6 +5,8 @@
 // levelControl sets the level below which requests are refused. It counts what
 // arrives by priority in windows. In a window with refusals, the level becomes
 // the lowest one at which the arrivals above it are as many as were started.
+// So it does in a window in which requests that are never refused for it have
+// waited too long.
 // In a window with room, it falls.
 type levelControl struct {
 	window   time.Duration
@@ -14,6 +16,7 @@
 	recent   [buckets]int
 	starts   int
 	refused  int // by the queue or by the level
+	delayed  int // started after waiting longer than they should
 	served   float64
 
 	// Arrivals of the highest class and starts, smoothed over many windows.
@@ -30,6 +33,7 @@
 	slowWeight    = 0.05 // of the last window in what decides on the highest class
 	criticalLevel = (classes - 1) * prioritiesPerClass
 	headroom      = 1.02 // arrivals admitted for each one started
+	catchUp       = 0.95 // the same while the queue is too long
 	fallStep      = 16   // priorities by which the level falls in a quiet window
 	idleFallStep  = 96   // the same while a large part of the limit is free
 	idleRoom      = 0.5
@@ -66,18 +70,22 @@
 		l.recent[i] = 0
 	}
 	l.served += arrivalWeight * (float64(l.starts) - l.served)
-	overloaded := l.refused > 0 && room < fullRoom
-	l.starts, l.refused = 0, 0
+	delayed := l.delayed > 0
+	overloaded := (l.refused > 0 || delayed) && room < fullRoom
+	l.starts, l.refused, l.delayed = 0, 0, 0
 	if overloaded {
-		l.raise()
+		l.raise(delayed)
 		return
 	}
 	l.fall(room, windows)
 }
 
 // raise sets the level so that what is above it fits.
-func (l *levelControl) raise() {
+func (l *levelControl) raise(delayed bool) {
 	fits := l.served * headroom
+	if delayed {
+		fits = l.served * catchUp
+	}
 	above := 0.0
 	level := MaximumLevel
 	for i := buckets - 1; i >= 0; i-- {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,7 +1,8 @@
 package admission
 
-// ticketHeap orders waiting requests: highest priority first, among equals the
-// newest. Unordered: oldest first.
+// ticketHeap orders waiting requests: the highest class first, within a class
+// those that are committed, then the highest priority, among equals the newest.
+// Unordered: oldest first.
 type ticketHeap struct {
 	tickets   []*Ticket
 	unordered bool
@@ -15,8 +16,14 @@
 	if h.unordered {
 		return a.sequence < b.sequence
 	}
-	if a.priority != b.priority {
-		return a.priority > b.priority
+	if classA, classB := ClassOf(a.Priority), ClassOf(b.Priority); classA != classB {
+		return classA > classB
+	}
+	if a.Committed != b.Committed {
+		return a.Committed
+	}
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
 	}
 	return a.sequence > b.sequence
 }
@@ -46,11 +53,45 @@
 
 // worst returns the request that would be served last.
 func (h *ticketHeap) worst() *Ticket {
-	worst := h.tickets[0]
+	return h.last(func(*Ticket) bool { return true })
+}
+
+// worstCommitted returns the last of those that are committed, nil when there is
+// none.
+func (h *ticketHeap) worstCommitted() *Ticket {
+	return h.last(func(ticket *Ticket) bool { return ticket.Committed })
+}
+
+// last returns the last of the requests that fit.
+func (h *ticketHeap) last(fits func(*Ticket) bool) *Ticket {
+	var worst *Ticket
 	for _, ticket := range h.tickets {
-		if h.before(worst, ticket) {
+		if fits(ticket) && (worst == nil || h.before(worst, ticket)) {
 			worst = ticket
 		}
 	}
 	return worst
 }
+
+// fresh returns the number of those that are not committed.
+func (h *ticketHeap) fresh() int {
+	count := 0
+	for _, ticket := range h.tickets {
+		if !ticket.Committed {
+			count++
+		}
+	}
+	return count
+}
+
+// bestFresh returns the first of those that are not committed, nil when there is
+// none.
+func (h *ticketHeap) bestFresh() *Ticket {
+	var best *Ticket
+	for _, ticket := range h.tickets {
+		if !ticket.Committed && (best == nil || h.before(ticket, best)) {
+			best = ticket
+		}
+	}
+	return best
+}
--- a/internal/emulator/serve.go
+++ b/internal/emulator/serve.go
@@ -21,7 +21,9 @@
 		w.enter(b, r, i, account, item, func(got reply, _ time.Duration) { done(got) })
 		return
 	}
-	b.controller.Ask(w.Now(), r.priority, r.deadline, func(verdict admission.Verdict) {
+	request := admission.Request{Priority: r.priority, Deadline: r.deadline, Committed: i > 0}
+	var ticket *admission.Ticket
+	ticket = b.controller.Ask(w.Now(), request, func(verdict admission.Verdict) {
 		// The controller must not be called from here.
 		w.After(0, func() {
 			if verdict != admission.Admitted {
@@ -29,7 +31,7 @@
 				return
 			}
 			w.enter(b, r, i, account, item, func(got reply, own time.Duration) {
-				b.controller.Done(w.Now(), own, got.refused, !item.cancelled)
+				b.controller.Done(w.Now(), ticket, admission.Outcome{Own: own, Refused: got.refused, Counted: !item.cancelled})
 				got.level = max(got.level, level())
 				got.unspent = account.Close()
 				got.refused = false // it ran
--- a/internal/replay/players.go
+++ b/internal/replay/players.go
@@ -38,11 +38,11 @@
 	switch step.Do {
 	case "ask":
 		priority := admission.Priority(step.Class, step.Who)
-		p.tickets[step.Who] = p.controller.Ask(now, priority, now.Add(step.Left), func(verdict admission.Verdict) {
+		p.tickets[step.Who] = p.controller.Ask(now, admission.Request{Priority: priority, Deadline: now.Add(step.Left)}, func(verdict admission.Verdict) {
 			p.verdicts = append(p.verdicts, step.Who+" "+verdictNames[verdict])
 		})
 	case "done":
-		p.controller.Done(now, step.Own, false, true)
+		p.controller.Done(now, &admission.Ticket{}, admission.Outcome{Own: step.Own, Counted: true})
 	case "expire":
 		p.controller.Expire(now)
 	case "withdraw":
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -63,11 +63,25 @@
 	Inbound bool
 	// External is true for calls of callers outside the mesh.
 	External bool
+	// Routed says that the policy comes from the route table.
+	Routed bool
+	// Patience is the time that the caller gave the request, 0 when it did not say.
+	Patience time.Duration
+	// Pressure is the highest that any attempt of the call met: the time spent
+	// waiting for places as a multiple of what it should be.
+	Pressure float64
 	// ReleasePlace gives back the place beside the back end early. Set by the
 	// admission plug-in, nil before it.
 	ReleasePlace func()
 }
 
+// NotePressure records the pressure that an attempt met.
+func (c *Call) NotePressure(pressure float64) { c.Pressure = max(c.Pressure, pressure) }
+
+// Committed reports whether other services have worked for the user request
+// already, so that their work is lost when the call is refused.
+func (c *Call) Committed() bool { return c.Hops > 0 }
+
 // Answer is the answer to a call.
 type Answer struct {
 	*http.Response
--- a/kernel/chain.go
+++ b/kernel/chain.go
@@ -16,6 +16,7 @@
 var OutboundChain = []string{
 	"drain",    // refuse new callers when stopping (gateways)
 	"deadline", // refuse what is out of time, bound the rest
+	"shed",     // refuse a share of a route under pressure
 	"identity", // name calls that may not be repeated
 	"retry",    // repeat attempts within the budget
 	"routing",  // refuse early, choose a node, send
--- a/kernel/execution.go
+++ b/kernel/execution.go
@@ -30,6 +30,7 @@
 	since    time.Time // when children became more than 0
 	waited   time.Duration
 	level    int
+	pressure float64
 	ordinals map[uint64]int
 }
 
@@ -70,6 +71,21 @@
 	e.level = max(e.level, level)
 }
 
+// NotePressure records the pressure that this execution or a call of the back
+// end met.
+func (e *Execution) NotePressure(pressure float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.pressure = max(e.pressure, pressure)
+}
+
+// Pressure returns the highest pressure that was noted.
+func (e *Execution) Pressure() float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.pressure
+}
+
 // Level returns the highest level that was noted.
 func (e *Execution) Level() int {
 	e.mutex.Lock()
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -72,6 +72,8 @@
 	SetState(leaving, down bool)
 	// SetPlaces announces the claim group places of others that this process holds.
 	SetPlaces(places []string)
+	// SetSeeds replaces the addresses at which the mesh is looked for.
+	SetSeeds(seeds []string)
 	// Announce spreads the revisions of this process at once.
 	Announce()
 }
@@ -327,6 +329,14 @@
 	}
 }
 
+// Context ends when the process has ended.
+func (p *Process) Context() context.Context { return p.context }
+
+// Reload puts changed seeds in force.
+func (p *Process) Reload(seeds []string) {
+	p.Loop.Post(func(time.Time) { p.Mesh.SetSeeds(seeds) })
+}
+
 // Ready reports whether the process takes requests.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
--- a/kernel/split_test.go
+++ b/kernel/split_test.go
@@ -12,16 +12,13 @@
 		is := is.New(t)
 		var counters splitCounters
 		below := 0
-		for i := range 200 {
+		for i := range 2000 {
 			position := counters.next("route")
 			is.True(position >= 0 && position < 1)
 			if position < 0.9 {
 				below++
 			}
-			if i >= 20 {
-				share := float64(below) / float64(i+1)
-				is.True(math.Abs(share-0.9) < 0.07) // close to the weight at any time
-			}
+			is.True(math.Abs(float64(below)-0.9*float64(i+1)) < 3) // whole requests off the weight, at any time
 		}
 	}
 }
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -68,6 +68,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if err != nil {
+		p.logEnd(r, call, direction, err, time.Since(started))
 		result.From(err).WriteHTTP(w)
 		return
 	}
@@ -100,6 +101,9 @@
 	if level > 0 {
 		header.Set(wire.HeaderLevel, strconv.Itoa(level))
 	}
+	if pressure := call.Execution.Pressure(); pressure > 0 {
+		header.Set(wire.HeaderPressure, strconv.FormatFloat(pressure, 'f', 2, 64))
+	}
 	if p.Leaving() {
 		header.Set(wire.HeaderLeaving, "1")
 	}
@@ -109,6 +113,7 @@
 type target struct {
 	service string
 	policy  policy.Effective
+	routed  bool // by the route table
 }
 
 // routed finds the target of a request by the route table of the policy tree.
@@ -118,14 +123,14 @@
 	path := r.URL.EscapedPath()
 	if index.Routes().Empty() {
 		name := service(r)
-		return target{name, index.Resolve(name, r.Method, path)}, nil
+		return target{service: name, policy: index.Resolve(name, r.Method, path)}, nil
 	}
 	route := index.Routes().Find(hostName(r.Host), path)
 	if route == nil {
 		return target{}, result.New(result.NoRoute, "no route of revision %d leads to %s%s", index.Revision(), r.Host, path)
 	}
 	name := route.ServiceAt(p.splits.next(route.Name))
-	return target{name, route.Apply(index.Resolve(name, r.Method, path))}, nil
+	return target{service: name, policy: route.Apply(index.Resolve(name, r.Method, path)), routed: true}, nil
 }
 
 // checkReady refuses requests while the process does not know the policy.
@@ -153,6 +158,7 @@
 		Body:        body,
 		Fingerprint: body.fingerprint(),
 		Policy:      to.policy,
+		Routed:      to.routed,
 	}
 	if p.Dialect.HasRequestID() {
 		call.RequestID = header.Get(p.Dialect.RequestID)
@@ -308,11 +314,13 @@
 	call.Deadline = earlier(execution.Deadline, p.deadlineOf(call))
 }
 
-// deadlineOf returns when a call ends by its policy and by what its caller says.
+// deadlineOf returns when a call ends by its policy and by what its caller says,
+// which it notes.
 func (p *Process) deadlineOf(call *Call) time.Time {
 	now := time.Now()
 	limit := call.Policy.Deadline
 	if left, told := p.Dialect.ReadRemaining(call.Header); told {
+		call.Patience = left
 		limit = min(limit, left)
 	}
 	return now.Add(limit)
@@ -340,7 +348,7 @@
 	if err := p.checkReady(); err != nil {
 		return nil, err
 	}
-	to := target{service, p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath())}
+	to := target{service: service, policy: p.Policy.Load().Resolve(service, r.Method, r.URL.EscapedPath())}
 	call, err := p.newCall(r, to)
 	if err != nil {
 		return nil, err
@@ -381,6 +389,7 @@
 	call.Budget = retrybudget.Open(min(number(header, wire.HeaderBudget, 0), policy.MaximumRetryBudget))
 	call.Hops = number(header, wire.HeaderHops, 0)
 	call.Repeat = header.Get(wire.HeaderRepeat) != ""
+	call.Policy.TargetLatency = time.Duration(number(header, wire.HeaderTarget, 0)) * time.Millisecond
 	var key claims.Key
 	if err := key.UnmarshalText([]byte(header.Get(wire.HeaderClaimKey))); err != nil {
 		return err
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,13 +82,28 @@
 func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
 		p.setBounds(call)
-		if err := p.wait(call); err != nil {
+		asked := time.Now()
+		ticket, err := p.wait(call)
+		call.Execution.NotePressure(pressure(call, time.Since(asked), err))
+		if err != nil {
 			return nil, err
 		}
-		return p.run(next, call)
+		return p.run(next, call, ticket)
 	})
 }
 
+// refusedPressure is the pressure of a refusal, at least.
+const refusedPressure = 4
+
+// pressure is the time that a call waited as a multiple of what it should wait.
+func pressure(call *kernel.Call, waited time.Duration, err error) float64 {
+	met := waited.Seconds() / call.Policy.QueueTime.Seconds()
+	if err != nil {
+		met = max(met, refusedPressure)
+	}
+	return met
+}
+
 // setBounds passes changed settings of the service to the controller.
 func (p *plugin) setBounds(call *kernel.Call) {
 	wanted := bounds{call.Policy.ConcurrencyMin, call.Policy.ConcurrencyMax, call.Policy.QueueTime}
@@ -109,30 +125,50 @@
 	if p.process.BackEnd == nil {
 		return 0
 	}
-	return p.process.BackEnd.State().Slots
+	slots := p.process.BackEnd.State().Slots
+	return min(slots, int(math.Ceil(float64(slots)*usableShare)))
 }
 
+// patienceShare is the part of the target latency that a request may wait for a
+// place: a refusal that comes sooner leaves time to come again.
+const patienceShare = 5
+
+// usableShare is the share of the back end's slots that are used. Some back ends
+// become slower when the last ones are taken, and a request that was given up
+// may hold one for a while.
+const usableShare = 0.94
+
 // wait waits for a place.
-func (p *plugin) wait(call *kernel.Call) error {
+func (p *plugin) wait(call *kernel.Call) (*admission.Ticket, error) {
 	verdicts := make(chan admission.Verdict, 1)
-	ticket := p.controller.Ask(time.Now(), call.Priority, call.Deadline, func(verdict admission.Verdict) { verdicts <- verdict })
+	request := admission.Request{
+		Priority:  call.Priority,
+		Deadline:  call.Deadline,
+		Committed: call.Committed(),
+		Patience:  call.Policy.TargetLatency / patienceShare,
+	}
+	ticket := p.controller.Ask(time.Now(), request, func(verdict admission.Verdict) { verdicts <- verdict })
 	select {
 	case verdict := <-verdicts:
-		return refusal(verdict)
+		return ticket, refusal(verdict)
 	default:
 	}
 	// The controller has no clock: it is told when a request has waited enough.
+	// One that may wait as long as it has time is ended by its context.
 	waited := time.NewTimer(call.Policy.QueueTime)
 	defer waited.Stop()
+	if request.Committed {
+		waited.Stop()
+	}
 	for {
 		select {
 		case verdict := <-verdicts:
-			return refusal(verdict)
+			return ticket, refusal(verdict)
 		case <-waited.C:
 			p.controller.Expire(time.Now())
 			waited.Reset(expireAgain)
 		case <-call.Context.Done():
-			return p.withdraw(call, ticket, verdicts)
+			return nil, p.withdraw(call, ticket, verdicts)
 		}
 	}
 }
@@ -144,7 +180,7 @@
 // withdraw gives up waiting. The place may have come at the same moment.
 func (p *plugin) withdraw(call *kernel.Call, ticket *admission.Ticket, verdicts <-chan admission.Verdict) error {
 	if !p.controller.Withdraw(ticket) && <-verdicts == admission.Admitted {
-		p.controller.Done(time.Now(), 0, false, false)
+		p.controller.Done(time.Now(), ticket, admission.Outcome{})
 	}
 	if context.Cause(call.Context) == context.DeadlineExceeded {
 		return result.New(result.DeadlineTooShort, "the deadline passed while waiting for a place")
@@ -173,6 +209,7 @@
 type place struct {
 	plugin  *plugin
 	call    *kernel.Call
+	ticket  *admission.Ticket
 	started time.Time
 	once    sync.Once
 }
@@ -181,14 +218,14 @@
 	s.once.Do(func() {
 		now := time.Now()
 		own := now.Sub(s.started) - s.call.Execution.Waited(now)
-		s.plugin.controller.Done(now, max(own, 0), refused, counted)
+		s.plugin.controller.Done(now, s.ticket, admission.Outcome{Own: max(own, 0), Refused: refused, Counted: counted})
 	})
 }
 
 // run passes the call on and gives the place back when the answer has been
 // read.
-func (p *plugin) run(next kernel.Handler, call *kernel.Call) (*kernel.Answer, error) {
-	taken := &place{plugin: p, call: call, started: time.Now()}
+func (p *plugin) run(next kernel.Handler, call *kernel.Call, ticket *admission.Ticket) (*kernel.Answer, error) {
+	taken := &place{plugin: p, call: call, ticket: ticket, started: time.Now()}
 	call.ReleasePlace = func() { taken.release(false, false) }
 	answer, err := next.Handle(call)
 	if err != nil {
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -14,4 +14,5 @@
 	_ "github.com/loomcleat/loomcleat/plugin/once"       // at most once
 	_ "github.com/loomcleat/loomcleat/plugin/retry"      // attempts
 	_ "github.com/loomcleat/loomcleat/plugin/routing"    // choice of a node
+	_ "github.com/loomcleat/loomcleat/plugin/shed"       // early refusal by route
 )
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -119,8 +119,11 @@
 	}
 	now := time.Now()
 	path := call.Policy.Path
-	if level := balancer.Level(now, path); call.Priority < level {
+	level := balancer.Level(now, path)
+	if call.Priority < level {
 		noteLevel(call, level)
+	}
+	if call.Priority < level && !call.Committed() && !call.Routed {
 		return nil, result.New(result.ShedEarly, "a service on the call path admits only higher priorities now").WithRetryAfter(shedRetryAfter)
 	}
 	target, found := balancer.Pick(now, path, call.Priority, call.Tried)
@@ -230,6 +233,9 @@
 	header[wire.HeaderRemaining] = []string{strconv.FormatInt(call.Deadline.Sub(now).Microseconds(), 10)}
 	header[wire.HeaderBudget] = []string{strconv.Itoa(loan)}
 	header[wire.HeaderHops] = []string{strconv.Itoa(call.Hops)}
+	if target := call.Policy.TargetLatency; target > 0 {
+		header[wire.HeaderTarget] = []string{strconv.FormatInt(target.Milliseconds(), 10)}
+	}
 	if call.Repeat {
 		header[wire.HeaderRepeat] = []string{"1"}
 	}
@@ -246,6 +252,7 @@
 		r.process.Log.Emit(event.AnswerMismatch, "node", target.ID)
 		return nil, result.New(result.AnswerMismatch, "node %s answered another request", target.ID)
 	}
+	notePressure(call, header)
 	answer := &kernel.Answer{
 		Response: response,
 		Unspent:  intHeader(header, wire.HeaderUnspent),
@@ -267,6 +274,18 @@
 	return answer, nil
 }
 
+// notePressure takes the pressure that an attempt met.
+func notePressure(call *kernel.Call, header http.Header) {
+	pressure, err := strconv.ParseFloat(header.Get(wire.HeaderPressure), 64)
+	if err != nil {
+		return
+	}
+	call.NotePressure(pressure)
+	if call.Execution != nil {
+		call.Execution.NotePressure(pressure)
+	}
+}
+
 func intHeader(header http.Header, name string) int {
 	value, err := strconv.Atoi(header.Get(name))
 	if err != nil {
--- /dev/null
+++ b/plugin/shed/setup.go
@@ -0,0 +1,105 @@
+// Package shed refuses requests of callers where they enter, before any work,
+// when their route meets pressure further down. The share of each route that is
+// admitted is that of admission.Gate.
+package shed
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+)
+
+const name = "shed"
+
+func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+
+func setup(process *kernel.Process) error {
+	s := &shed{gates: map[string]*route{}}
+	process.UseOutbound(name, s.middleware)
+	return nil
+}
+
+// shed holds the gates of one process.
+type shed struct {
+	mutex sync.Mutex
+	gates map[string]*route // by the path of the policy
+}
+
+// route is the gate of one route.
+type route struct {
+	gate *admission.Gate
+	// longest is the most time that a caller gave a request: that of a first try.
+	longest time.Duration
+}
+
+func (s *shed) middleware(next kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
+		if !call.Routed || !call.External {
+			return next.Handle(call)
+		}
+		if share, admitted := s.admit(call); !admitted {
+			return nil, result.New(result.ShedEarly, "route %s admits a share of %.2f now", call.Policy.Path, share).WithRetryAfter(retryAfter)
+		}
+		answer, err := next.Handle(call)
+		s.done(call)
+		return answer, err
+	})
+}
+
+// retryAfter is the time after which a refused caller may come again.
+const retryAfter = time.Second
+
+// admit reports whether the call is admitted, and the share that is.
+func (s *shed) admit(call *kernel.Call) (share float64, admitted bool) {
+	now := time.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found := s.route(call, now)
+	found.longest = max(found.longest, call.Patience)
+	admitted = found.gate.Admit(now, rank(found.longest, call.Patience))
+	return found.gate.Share(), admitted
+}
+
+func (s *shed) done(call *kernel.Call) {
+	now := time.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.route(call, now).gate.Done(now, call.Pressure)
+}
+
+// route returns the route of a call. The mutex is held.
+func (s *shed) route(call *kernel.Call, now time.Time) *route {
+	found, exists := s.gates[call.Policy.Path]
+	if !exists {
+		found = &route{gate: admission.NewGate(now, admission.GateConfig{})}
+		s.gates[call.Policy.Path] = found
+	}
+	return found
+}
+
+// Ranks of requests that come again after a refusal, which is seen by the time
+// that they have left. One that came back when it was told to goes first; one
+// that did not wait goes last.
+const (
+	returnedRanks = 0.2
+	hastyRanks    = 0.6
+	hastyFrom     = 20 * time.Millisecond // less than this is a first try
+)
+
+// rank places a request among those of its route, from 0, the first, up to 1.
+func rank(longest, patience time.Duration) float64 {
+	even := rand.Float64()
+	spent := longest - patience
+	switch {
+	case spent >= retryAfter*9/10:
+		return even * returnedRanks
+	case spent >= hastyFrom:
+		return hastyRanks + even*(1-hastyRanks)
+	default:
+		return even
+	}
+}
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -35,6 +35,8 @@
 	HeaderClaimKey = "Loomcleat-Claim-Key"
 	// HeaderHops is the number of calls above this one in the call graph.
 	HeaderHops = "Loomcleat-Hops"
+	// HeaderTarget is the target latency of the request's route in milliseconds.
+	HeaderTarget = "Loomcleat-Target"
 	// HeaderRepeat is "1" when this attempt, or one above it in the call graph,
 	// is not the first of its request.
 	HeaderRepeat = "Loomcleat-Repeat"
@@ -47,6 +49,9 @@
 	// HeaderLevel is the lowest priority that the node and everything it
 	// called for this request would admit now, 0 to 1024.
 	HeaderLevel = "Loomcleat-Level"
+	// HeaderPressure is the highest pressure that the request met at this node or
+	// below: time waited for a place as a multiple of what it should be.
+	HeaderPressure = "Loomcleat-Pressure"
 	// HeaderLeaving is "1" when the answering node is stopping.
 	HeaderLeaving = "Loomcleat-Leaving"
 	// HeaderReplayed is "1" when the answer is the stored one of an earlier run.
