Bounded log lines, reload of settings, a stand-in of the platform's store

Cause: a flood of refusals would have been a flood of lines; a reader that stops could hold up the process; SIGHUP ended it; package platform had no tests. Change: lines of one event are bounded and counted, written by another goroutine to standard output; SIGHUP and a changed file are read again, wrong settings change nothing; internal/standin/metastore and the contract tests of platform. Tests: event, internal/daemon, settings, platform.

--- a/event/events.go
+++ b/event/events.go
@@ -10,13 +10,15 @@
 
 // Events of the process life cycle.
 const (
-	ProcessStarting Number = 100
-	ProcessReady    Number = 101
-	ProcessDraining Number = 102
-	ProcessStopped  Number = 103
-	StartFailed     Number = 104
-	DrainTimedOut   Number = 105
-	LibraryMessage  Number = 106
+	ProcessStarting  Number = 100
+	ProcessReady     Number = 101
+	ProcessDraining  Number = 102
+	ProcessStopped   Number = 103
+	StartFailed      Number = 104
+	DrainTimedOut    Number = 105
+	LibraryMessage   Number = 106
+	SettingsReloaded Number = 107
+	ReloadFailed     Number = 108
 )
 
 // Events of policy distribution.
@@ -54,6 +56,10 @@
 	AdmissionLevelSet Number = 407
 	InstanceChanged   Number = 408
 	HeartbeatRefused  Number = 409
+	RequestFailed     Number = 410
+	RequestRefused    Number = 411
+	AttemptRepeated   Number = 412
+	GateMoved         Number = 413
 )
 
 // Events of at-most-once claims.
@@ -83,6 +89,8 @@
 	{StartFailed, "start-failed", "error", "The process could not start; the numbered result says why."},
 	{DrainTimedOut, "drain-timed-out", "warn", "Requests were still in flight when the drain timeout passed and were cut off."},
 	{LibraryMessage, "library-message", "info", "A message of the HTTP framework."},
+	{SettingsReloaded, "settings-reloaded", "info", "The settings file was read again; the line names the keys that changed and those that wait for a restart."},
+	{ReloadFailed, "reload-failed", "error", "The settings file was read again and is not valid; the settings before it stay in force."},
 	{DocumentAdopted, "document-adopted", "info", "A higher revision of the policy tree or of the claim groups is in force in this process."},
 	{DocumentRejected, "document-rejected", "error", "A policy tree or claim groups document failed its check; the revision before it stays in force."},
 	{StoreUnreachable, "store-unreachable", "warn", "The key-value store does not answer; the last policy stays in force and the read is retried."},
@@ -108,6 +116,10 @@
 	{AdmissionLevelSet, "admission-level-set", "info", "The admission level of this node entered or left the state of overload."},
 	{InstanceChanged, "instance-changed", "info", "The back end beside this node is another incarnation now, or none is known."},
 	{HeartbeatRefused, "heartbeat-refused", "warn", "A heartbeat that is not of the back end beside this node was not acknowledged."},
+	{RequestFailed, "request-failed", "warn", "A request ended without the answer of a back end, and may have run."},
+	{RequestRefused, "request-refused", "info", "A request was refused and did not run."},
+	{AttemptRepeated, "attempt-repeated", "info", "An attempt of a call failed and another one is made."},
+	{GateMoved, "gate-moved", "info", "The share of a route's requests that is admitted at this entry went below or above a half, or to all."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- /dev/null
+++ b/event/queue.go
@@ -0,0 +1,51 @@
+package event
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// QueueWriter passes lines to another writer in a goroutine of its own, so that a
+// reader of the log that stops reading never holds up the process. Lines that
+// do not fit into the queue are dropped and counted.
+type QueueWriter struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewQueueWriter returns a QueueWriter for at most size waiting lines.
+func NewQueueWriter(output io.Writer, size int) *QueueWriter {
+	w := &QueueWriter{lines: make(chan []byte, size)}
+	go w.run(output)
+	return w
+}
+
+func (w *QueueWriter) run(output io.Writer) {
+	for line := range w.lines {
+		_, _ = output.Write(line) // there is nobody to tell
+	}
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (w *QueueWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// flushCheck is the time between two looks at the queue.
+const flushCheck = time.Millisecond
+
+// Flush waits until the queue is empty, at most for the given time.
+func (w *QueueWriter) Flush(wait time.Duration) {
+	for end := time.Now().Add(wait); len(w.lines) > 0 && time.Now().Before(end); {
+		time.Sleep(flushCheck)
+	}
+}
+
+// Dropped returns the number of lines that were dropped.
+func (w *QueueWriter) Dropped() int64 { return w.dropped.Load() }
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -48,27 +48,33 @@
 	}
 }
 
-// run loads, checks and runs a process.
+// run checks and runs a process.
 func (f *processFlags) run(output *streams, role settings.Role, adjust func(*settings.Settings)) error {
-	loaded, lines, err := settings.Load(role, f.Config)
-	if err != nil {
-		return err
-	}
-	f.apply(&loaded)
-	adjust(&loaded)
-	if err := loaded.Check(lines); err != nil {
-		return err
-	}
+	load := func() (settings.Settings, error) { return f.load(role, adjust) }
 	if f.Check {
+		if _, err := load(); err != nil {
+			return err
+		}
 		fmt.Fprintln(output.out, "the settings are valid")
 		return nil
 	}
-	if err := daemon.Run(loaded); err != nil {
+	if err := daemon.Run(daemon.Source{File: f.Config, Load: load}); err != nil {
 		return result.From(err)
 	}
 	return nil
 }
 
+// load reads and checks the settings.
+func (f *processFlags) load(role settings.Role, adjust func(*settings.Settings)) (settings.Settings, error) {
+	loaded, lines, err := settings.Load(role, f.Config)
+	if err != nil {
+		return loaded, err
+	}
+	f.apply(&loaded)
+	adjust(&loaded)
+	return loaded, loaded.Check(lines)
+}
+
 type nodeCommand struct {
 	processFlags
 	Service  string `help:"Service of the back end."`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,16 +89,36 @@
 	}
 }
 
-// Run runs a process until it is told to stop by SIGTERM or SIGINT.
-func Run(s settings.Settings) error {
+// logQueue is the number of lines of the log that may wait for a reader.
+const logQueue = 1024
+
+// flushTime is how long an ending process waits for the reader of its log.
+const flushTime = 200 * time.Millisecond
+
+// Run runs a process until it is told to stop by SIGTERM or SIGINT. Its settings
+// are those of the source, which is read again on SIGHUP and when its file
+// changes.
+func Run(source Source) error {
 	tuneGarbageCollector()
-	log := NewLogger(s, os.Stderr)
+	s, err := source.Load()
+	if err != nil {
+		return err
+	}
+	output := event.NewQueueWriter(os.Stdout, logQueue)
+	defer output.Flush(flushTime)
+	log := NewLogger(s, output)
 	UseLibraryLog(log)
 	process, err := Open(s, log)
 	if err != nil {
 		log.Emit(event.StartFailed, "code", int(result.From(err).Code), "error", err)
 		return err
 	}
+	reload := &reloader{source: source, current: s, log: log, apply: func(loaded settings.Settings) {
+		log.SetLevel(loaded.Log.Level)
+		process.Reload(loaded.Seeds)
+	}}
+	reload.stamp = reload.look()
+	go reload.run(process.Context())
 	announce, drain := s.StopTimes()
 	patience := announce + drain + stopMargin
 	return RunServers(patience, process)
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -86,6 +86,9 @@
 // SetPlaces implements kernel.Mesh.
 func (m *mesh) SetPlaces(places []string) { m.machine.SetPlaces(places) }
 
+// SetSeeds implements kernel.Mesh.
+func (m *mesh) SetSeeds(seeds []string) { m.machine.SetSeeds(seeds) }
+
 // Announce implements kernel.Mesh.
 func (m *mesh) Announce() { m.machine.Announce() }
 
--- a/plugin/retry/retry_test.go
+++ b/plugin/retry/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
@@ -62,7 +63,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			process := &kernel.Process{Settings: settings.Default(settings.RoleNode)}
+			process := &kernel.Process{Settings: settings.Default(settings.RoleNode), Log: event.Discard()}
 			r := &retrier{process: process, limiter: newLimiter(process)}
 			made := 0
 			handler := r.middleware(kernel.HandlerFunc(func(*kernel.Call) (*kernel.Answer, error) {
--- a/plugin/retry/setup.go
+++ b/plugin/retry/setup.go
@@ -41,6 +41,7 @@
 				discard(answer)
 			}
 			r.process.Counters.Retries.Add(1)
+			r.process.LogRepeat(call, err)
 		}
 	})
 }
