--- a/balance/balance.go
+++ b/balance/balance.go
@@ -163,7 +163,7 @@
 	}
 	chosen := candidates[b.config.Random(len(candidates))]
 	if len(candidates) > 1 {
-		other := candidates[b.config.Random(len(candidates))]
+		other := b.near(candidates)
 		if b.cost(now, other) < b.cost(now, chosen) {
 			chosen = other
 		}
@@ -175,6 +175,20 @@
 	return chosen.target, true
 }
 
+// near returns a random candidate of the own zone, of all when there is none.
+func (b *Balancer) near(candidates []*state) *state {
+	own := make([]*state, 0, len(candidates))
+	for _, candidate := range candidates {
+		if candidate.target.Zone == b.config.Zone && candidate.target.Region == b.config.Region {
+			own = append(own, candidate)
+		}
+	}
+	if len(own) == 0 {
+		own = candidates
+	}
+	return own[b.config.Random(len(own))]
+}
+
 // candidates returns the best group of nodes that is not empty: those that
 // would admit the priority, then those that are well, then all.
 func (b *Balancer) candidates(now time.Time, path string, priority int, exclude []string) []*state {
@@ -217,6 +231,10 @@
 	return now.Before(s.ejectedUntil) || (s.ejections > 0 && s.onTrial)
 }
 
+// awayFactor is how much better a node of another zone must be to be chosen over
+// one of the own: bytes between zones cost, and zones lose each other.
+const awayFactor = 1.5
+
 // minimumLatency keeps the cost of a node that has not answered yet above 0.
 const minimumLatency = 0.0005
 
@@ -229,6 +247,9 @@
 		latency += b.config.ZoneCost.Seconds()
 	}
 	cost := latency * float64(s.inFlight+1)
+	if s.target.Zone != b.config.Zone || s.target.Region != b.config.Region {
+		cost *= awayFactor
+	}
 	if age := now.Sub(s.target.Since); age < b.config.WarmUp {
 		share := max(age.Seconds()/b.config.WarmUp.Seconds(), 0.1)
 		cost /= share
--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,234 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+)
+
+// platformNode is a node on the users' platform with the back end beside it.
+type platformNode struct {
+	*program
+	service, outbound, readiness, heartbeats string
+	instance                                 string
+	sequence                                 int
+	runs                                     atomic.Int64
+}
+
+// seal is what the stand-in of a back end signs its answers with.
+const seal = "sealed"
+
+// serveBackend plays the back end: it refuses what is meant for another
+// incarnation, echoes the name of the request and calls what the header asks for.
+func (n *platformNode) serveBackend(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	if r.Header.Get("X-Expect-Instance") != n.instance {
+		w.Header().Set("X-Instance-Id", n.instance)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	n.runs.Add(1)
+	inner := ""
+	if target := r.Header.Get("Call"); target != "" {
+		request, _ := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+n.outbound+target, nil)
+		request.Host = "shop.example"
+		request.Header.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id")+".1")
+		request.Header.Set("X-Deadline-Remaining", r.Header.Get("X-Deadline-Remaining"))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		inner = fmt.Sprintf(" [%d %s]", response.StatusCode, body)
+	}
+	w.Header().Set("X-Response-Seal", seal)
+	fmt.Fprintf(w, "%s for %s %s%s", n.service, r.Header.Get("X-Caller-Service"), r.URL.Path, inner)
+}
+
+// startPlatformNode starts a back end and its node.
+func startPlatformNode(t *testing.T, store, service string) *platformNode {
+	t.Helper()
+	n := &platformNode{
+		service:    service,
+		outbound:   freePort(t),
+		readiness:  freePort(t),
+		heartbeats: freePort(t),
+		instance:   "i-" + service,
+	}
+	backend := httptest.NewServer(http.HandlerFunc(n.serveBackend))
+	t.Cleanup(backend.Close)
+	lines := []string{
+		"id: " + service, "service: " + service, "backend: " + backend.Listener.Addr().String(),
+		"listen: " + freePort(t), "outbound: " + n.outbound, "entry: true",
+		"readiness: " + n.readiness, "heartbeats: " + n.heartbeats,
+		"control: " + freePort(t), "admin: " + freePort(t),
+		"store: " + store, "store_api: platform", "policy_required: true", "claims: false",
+		"probe_interval: 200ms", "stop_within: 2s",
+		"retry_budget: {ratio: 0.2, slack: 55, window: 10s}",
+		"log: {format: json}",
+	}
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.program = start(t, "node "+service, "loomcleat", "node", "--config", file)
+	return n
+}
+
+// beat sends a heartbeat and returns the status of its answer, 0 for none.
+func (n *platformNode) beat(state string) int {
+	n.sequence++
+	body := fmt.Sprintf(`{"address":"127.0.0.1:1","info":{"service":%q,"version":"v1","zone":"z","slots":4},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
+		n.service, state, n.sequence)
+	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+n.instance, strings.NewReader(body))
+	return statusOf(request)
+}
+
+func (n *platformNode) ready() int {
+	request, _ := http.NewRequest(http.MethodGet, "http://"+n.readiness+"/-/readiness", nil)
+	return statusOf(request)
+}
+
+func statusOf(request *http.Request) int {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// platformAnswer is what a client gets.
+type platformAnswer struct {
+	status     int
+	retryAfter string
+	seal       string
+	body       string
+}
+
+var platformRequests atomic.Int64
+
+// get sends a client's request to the node.
+func (n *platformNode) get(path, call string) platformAnswer {
+	request, _ := http.NewRequest(http.MethodGet, "http://"+n.outbound+path, nil)
+	request.Host = "shop.example"
+	request.Header.Set("X-Attempt-Id", "client"+strconv.FormatInt(platformRequests.Add(1), 10))
+	request.Header.Set("X-Deadline-Remaining", "5000")
+	request.Header.Set("X-Caller-Service", "forged")
+	request.Header.Set("Call", call)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return platformAnswer{}
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return platformAnswer{
+		status:     response.StatusCode,
+		retryAfter: response.Header.Get("Retry-After"),
+		seal:       response.Header.Get("X-Response-Seal"),
+		body:       string(body),
+	}
+}
+
+// until waits for a condition that must come true.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// platformConfiguration routes /front/ to one service and /deep/ to "deep".
+func platformConfiguration(version int, front string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"hosts":[{"host":"shop.example","paths":[
+{"name":"front","path_prefix":"/front/","type":"safe","timeout":"3s","priority":1,"service":%q,"max_attempts":2},
+{"name":"deep","path_prefix":"/deep/","type":"unsafe","timeout":"3s","priority":0,"service":"deep","max_attempts":1}]}]}`, version, front)
+}
+
+func TestNodesOnThePlatform(t *testing.T) {
+	is := is.New(t)
+	stub := metastore.NewServer()
+	store := httptest.NewServer(stub.Handler())
+	t.Cleanup(store.Close)
+	front := startPlatformNode(t, store.URL, "front")
+	deep := startPlatformNode(t, store.URL, "deep")
+	nodes := []*platformNode{front, deep}
+
+	// No configuration is known yet: not ready, and nobody is told that there is no route.
+	for _, n := range nodes {
+		until(t, "the probe to be answered", func() bool { return n.ready() == http.StatusServiceUnavailable })
+		refused := n.get("/front/x", "")
+		is.Equal(refused.status, http.StatusServiceUnavailable)
+		is.True(refused.retryAfter != "")
+	}
+	stub.Put("op/config", platformConfiguration(3, "front"))
+	for _, n := range nodes {
+		until(t, "readiness", func() bool { return n.ready() == http.StatusOK })
+		is.Equal(n.beat("ready"), http.StatusOK)
+	}
+
+	// A client of one machine is served by a back end of another, which makes a call.
+	until(t, "the first answer", func() bool { return deep.get("/front/x", "/deep/y").status == http.StatusOK })
+	whole := deep.get("/front/x", "/deep/y")
+	is.Equal(whole.body, "front for deep /front/x [200 deep for front /deep/y]")
+	is.Equal(whole.seal, seal)
+	is.Equal(front.get("/nowhere/", "").status, http.StatusNotFound)
+
+	// The store goes silent: heartbeats are acknowledged and requests are served.
+	stub.SetFaults(metastore.Faults{Silent: true})
+	is.Equal(front.beat("ready"), http.StatusOK)
+	is.Equal(deep.get("/front/x", "/deep/y").status, http.StatusOK)
+	stub.SetFaults(metastore.Faults{})
+
+	// A change, of which waits do not tell, is in force everywhere.
+	stub.SetFaults(metastore.Faults{MuteWaits: true})
+	stub.Put("op/config", platformConfiguration(8, "deep"))
+	for _, n := range nodes {
+		until(t, "the change", func() bool { return strings.HasPrefix(n.get("/front/x", "").body, "deep for") })
+	}
+	stub.SetFaults(metastore.Faults{})
+
+	// A change of the settings file, announced or not, ends nothing.
+	front.signal(syscall.SIGHUP)
+	until(t, "the reload", func() bool { return strings.Contains(front.log.String(), "settings-reloaded") })
+	is.Equal(front.get("/front/x", "").status, http.StatusOK)
+
+	// A back end that leaves gets nothing any more.
+	is.Equal(deep.beat("draining"), http.StatusOK)
+	until(t, "the back end to be closed", func() bool { return front.get("/deep/y", "").status == http.StatusServiceUnavailable })
+	before := deep.runs.Load()
+	refused := front.get("/deep/y", "")
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.True(refused.retryAfter != "")
+	is.Equal(deep.runs.Load(), before)
+
+	// A planned stop is seen by the probe before the process ends.
+	front.signal(syscall.SIGTERM)
+	until(t, "the probe to fail", func() bool { return front.ready() != http.StatusOK })
+	front.terminate()
+	is.NoErr(front.err)
+	is.True(strings.Contains(front.log.String(), "process-stopped"))
+	conn, err := net.DialTimeout("tcp", front.outbound, time.Second)
+	if err == nil {
+		conn.Close()
+	}
+	is.True(err != nil) // nothing listens any more
+}
--- a/event/queue.go
+++ b/event/queue.go
@@ -12,6 +12,7 @@
 type QueueWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	pending atomic.Int64 // waiting or being written
 }
 
 // NewQueueWriter returns a QueueWriter for at most size waiting lines.
@@ -24,25 +25,28 @@
 func (w *QueueWriter) run(output io.Writer) {
 	for line := range w.lines {
 		_, _ = output.Write(line) // there is nobody to tell
+		w.pending.Add(-1)
 	}
 }
 
 // Write implements io.Writer. It never blocks and never fails.
 func (w *QueueWriter) Write(line []byte) (int, error) {
+	w.pending.Add(1)
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.pending.Add(-1)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-// flushCheck is the time between two looks at the queue.
+// flushCheck is the time between two looks at what is pending.
 const flushCheck = time.Millisecond
 
-// Flush waits until the queue is empty, at most for the given time.
+// Flush waits until all lines are written, at most for the given time.
 func (w *QueueWriter) Flush(wait time.Duration) {
-	for end := time.Now().Add(wait); len(w.lines) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(wait); w.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(flushCheck)
 	}
 }
--- a/plugin/shed/setup.go
+++ b/plugin/shed/setup.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
 )
@@ -18,15 +19,16 @@
 func init() { kernel.Register(name, kernel.StageTraffic, setup) }
 
 func setup(process *kernel.Process) error {
-	s := &shed{gates: map[string]*route{}}
+	s := &shed{process: process, gates: map[string]*route{}}
 	process.UseOutbound(name, s.middleware)
 	return nil
 }
 
 // shed holds the gates of one process.
 type shed struct {
-	mutex sync.Mutex
-	gates map[string]*route // by the path of the policy
+	process *kernel.Process
+	mutex   sync.Mutex
+	gates   map[string]*route // by the path of the policy
 }
 
 // route is the gate of one route.
@@ -34,6 +36,29 @@
 	gate *admission.Gate
 	// longest is the most time that a caller gave a request: that of a first try.
 	longest time.Duration
+	opening opening // as it was last logged
+}
+
+// opening is how far a gate is open, as operators want to know it.
+type opening int
+
+const (
+	open     opening = iota // everything is admitted
+	narrowed                // half or more
+	low                     // less than half
+)
+
+var openingNames = []string{"open", "narrowed", "low"}
+
+func openingOf(share float64) opening {
+	switch {
+	case share >= 1:
+		return open
+	case share >= 0.5:
+		return narrowed
+	default:
+		return low
+	}
 }
 
 func (s *shed) middleware(next kernel.Handler) kernel.Handler {
@@ -68,7 +93,13 @@
 	now := time.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.route(call, now).gate.Done(now, call.Pressure)
+	found := s.route(call, now)
+	found.gate.Done(now, call.Pressure)
+	share := found.gate.Share()
+	if now := openingOf(share); now != found.opening {
+		found.opening = now
+		s.process.Log.Emit(event.GateMoved, "path", call.Policy.Path, "opening", openingNames[now], "share", share, "pressure", call.Pressure)
+	}
 }
 
 // route returns the route of a call. The mutex is held.
