An attempt that is not answered in time counts as pressure

Change: a timeout counts as pressure 3 for the call and for the request it was made for; a node of another zone must be 1.2 times better instead of 1.5. Test: plugin/routing TestATimeoutIsPressure.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -233,7 +233,7 @@
 
 // awayFactor is how much better a node of another zone must be to be chosen over
 // one of the own: bytes between zones cost, and zones lose each other.
-const awayFactor = 1.5
+const awayFactor = 1.2
 
 // minimumLatency keeps the cost of a node that has not answered yet above 0.
 const minimumLatency = 0.0005
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -175,6 +175,9 @@
 		if result.From(err).NotRun() {
 			call.Budget.Repay(loan, loan) // the loan never left this process
 		}
+		if result.From(err).Code == result.DeadlineExceeded {
+			addPressure(call, timeoutPressure)
+		}
 		finish(outcomeOf(call, err))
 		return nil, err
 	}
@@ -280,6 +283,14 @@
 	if err != nil {
 		return
 	}
+	addPressure(call, pressure)
+}
+
+// timeoutPressure is the pressure of an attempt that was not answered in time:
+// whoever might have told how long it waited did not get to it.
+const timeoutPressure = 3
+
+func addPressure(call *kernel.Call, pressure float64) {
 	call.NotePressure(pressure)
 	if call.Execution != nil {
 		call.Execution.NotePressure(pressure)
