kernel/traffic.go is four files with one job each

Cause: it had grown to 408 lines: finding a target, calls that leave, calls that arrive, and the common frame.

--- /dev/null
+++ b/kernel/target.go
@@ -0,0 +1,63 @@
+package kernel
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// target is the service that a request is for and how it is to be treated.
+type target struct {
+	service string
+	policy  policy.Effective
+	routed  bool // by the route table
+}
+
+// routed finds the target of a request by the route table of the policy tree.
+// Without one, service says what it is for.
+func (p *Process) routed(r *http.Request, service func(*http.Request) string) (target, error) {
+	index := p.Policy.Load()
+	path := r.URL.EscapedPath()
+	if index.Routes().Empty() {
+		name := service(r)
+		return target{service: name, policy: index.Resolve(name, r.Method, path)}, nil
+	}
+	route := index.Routes().Find(hostName(r.Host), path)
+	if route == nil {
+		return target{}, result.New(result.NoRoute, "no route of revision %d leads to %s%s", index.Revision(), r.Host, path)
+	}
+	name := route.ServiceAt(p.splits.next(route.Name))
+	return target{service: name, policy: route.Apply(index.Resolve(name, r.Method, path)), routed: true}, nil
+}
+
+// routeService returns the service that a caller's request is for.
+func (p *Process) routeService(r *http.Request) string {
+	host := hostName(r.Host)
+	for _, route := range p.Settings.Routes {
+		if route.Host != "" && route.Host != host {
+			continue
+		}
+		if strings.HasPrefix(r.URL.Path, route.PathPrefix) {
+			return route.Service
+		}
+	}
+	return firstLabel(host)
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+func firstLabel(host string) string {
+	label, _, _ := strings.Cut(host, ".")
+	return label
+}
+
+// serviceOfHost returns the first label of the Host header.
+func serviceOfHost(r *http.Request) string { return firstLabel(hostName(r.Host)) }
