--- /dev/null
+++ b/kernel/outbound_test.go
@@ -0,0 +1,96 @@
+package kernel
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/retrybudget"
+	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// entryProcess is a process that knows one route and one request in progress.
+func entryProcess() *Process {
+	p := &Process{Settings: settings.Default(settings.RoleNode), Log: event.Discard(), executions: newExecutions("p")}
+	p.Settings.Service = "own"
+	p.Dialect = wire.Dialect{
+		RequestID:     "Name",
+		Remaining:     "Left",
+		CallerService: "From",
+		ParentID: func(id string) (string, bool) {
+			parent, _, found := strings.Cut(id, "/")
+			return parent, found
+		},
+	}
+	p.Policy.Store(policy.NewIndex(&policy.Document{Routes: []policy.Route{{
+		Name: "r", Host: "a.example", PathPrefix: "/a/", MaximumAttempts: 2, Class: policy.Default,
+		Timeout: policy.Duration(2 * time.Second), Split: []policy.SplitPart{{Service: "s", Weight: 1}},
+	}}}))
+	p.ready.Store(true)
+	p.executions.add(&Execution{
+		RequestID: "parent", Request: "user", Priority: 900, Repeat: true, Hops: 1,
+		Budget: retrybudget.Open(1), Deadline: time.Now().Add(time.Second),
+	})
+	return p
+}
+
+func entryRequest(path, name, left string) *http.Request {
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Host = "a.example:80"
+	r.Header.Set("Name", name)
+	r.Header.Set("Left", left)
+	r.Header.Set("From", "forged")
+	r.Header.Set(wire.HeaderPriority, "1023")
+	return r
+}
+
+func TestEntryCallOfACaller(t *testing.T) {
+	is := is.New(t)
+	call, err := entryProcess().entryCall(entryRequest("/a/x", "first", "500"))
+	is.NoErr(err)
+	is.Equal(call.Service, "s")
+	is.True(call.External && call.Routed && !call.Committed())
+	is.True(time.Until(call.Deadline) <= 500*time.Millisecond) // what the caller waits, below the route's timeout
+	is.Equal(call.Patience, 500*time.Millisecond)
+	is.Equal(call.Header.Get("From"), "own")           // not what the caller said
+	is.Equal(call.Header.Get(wire.HeaderPriority), "") // nor that
+	is.Equal(call.Priority/256, int(policy.Default))   // the route's class
+	call, err = entryProcess().entryCall(entryRequest("/a/x", "first", "60000"))
+	is.NoErr(err)
+	is.True(time.Until(call.Deadline) <= 2*time.Second) // the route's timeout
+}
+
+func TestEntryCallOfARequestInProgress(t *testing.T) {
+	is := is.New(t)
+	call, err := entryProcess().entryCall(entryRequest("/a/x", "parent/1", "5000"))
+	is.NoErr(err)
+	is.True(!call.External && call.Committed() && call.Repeat)
+	is.Equal(call.Request, "user")
+	is.Equal(call.Priority, 900)
+	is.Equal(call.Hops, 2)
+	is.True(time.Until(call.Deadline) <= time.Second) // it ends with its parent
+
+	call, err = entryProcess().entryCall(entryRequest("/a/x", "unknown/1", "5000"))
+	is.NoErr(err)
+	is.True(call.External) // the hint leads nowhere: it is treated as its route says
+}
+
+func TestEntryRefusals(t *testing.T) {
+	is := is.New(t)
+	p := entryProcess()
+	_, err := p.entryCall(entryRequest("/b/x", "first", "500"))
+	is.Equal(result.From(err).Code, result.NoRoute)
+	p.ready.Store(false)
+	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
+	is.Equal(result.From(err).Code, result.NotReady) // never 404 while nothing is known
+	is.Equal(result.From(err).Status(), http.StatusServiceUnavailable)
+	is.True(result.From(err).RetryAfter > 0)
+}
