Processes that start look for others at once; callers that leave are noticed

Ruled out: heartbeats as the cause (the back end was known after 0.15 s); reading ahead of the server (deadlines of a connection would have to be made anew). Change: lists are exchanged with three unknown addresses in each gossip interval of the first 5 s, and the list of machines is read sooner then; a connection is asked for its peer's end each 200 ms while a request is served.

--- a/kernel/servers.go
+++ b/kernel/servers.go
@@ -61,6 +61,7 @@
 		kratoshttp.Filter(answerAll), kratoshttp.Timeout(0))
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
+	server.ConnContext = withConnection
 	s.list = append(s.list, server)
 }
 
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -30,6 +30,7 @@
 		var cancel context.CancelFunc
 		call.Context, cancel = context.WithDeadline(r.Context(), call.Deadline)
 		defer cancel()
+		defer watchPeer(r, cancel)()
 		if call.Inbound {
 			p.executions.add(call.Execution)
 			defer p.executions.remove(call.Execution)
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -18,6 +18,7 @@
 	rumours   rumourQueue
 	rounds    int // gossip rounds still to send without updates
 	seeds     []string
+	started   time.Time
 	nextProbe time.Time
 	nextTalk  time.Time
 	lastSync  time.Time
@@ -46,6 +47,7 @@
 		config:    config,
 		self:      config.Self,
 		members:   map[string]*record{},
+		started:   now,
 		nextProbe: now,
 		nextTalk:  now,
 		changed:   true,
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -153,3 +153,36 @@
 	gone, _ := believed(peer, "former")
 	is.Equal(gone.Status, Dead)
 }
+
+// TestAMeshThatStartsAtOnceJoinsWithinASecond: all processes were killed and
+// start again; each is given all addresses.
+func TestAMeshThatStartsAtOnceJoinsWithinASecond(t *testing.T) {
+	is := is.New(t)
+	const size = 12
+	addresses := []string{}
+	machines := map[string]*Machine{}
+	for i := range size {
+		id := fmt.Sprintf("m%d", i)
+		addresses = append(addresses, id+":1")
+		machines[id+":1"] = New(Config{
+			Self:          Member{ID: id, Control: id + ":1", Generation: int64(i + 1)},
+			ProbeInterval: time.Second,
+			Random:        rand.New(rand.NewPCG(uint64(i), 1)),
+		}, epoch)
+	}
+	for _, machine := range machines {
+		machine.SetSeeds(addresses)
+	}
+	for at := time.Duration(0); at <= time.Second; at += 100 * time.Millisecond {
+		now := epoch.Add(at)
+		for _, address := range addresses {
+			machine := machines[address]
+			for _, send := range machine.Tick(now) {
+				machine.Replied(now, send, machines[send.To].Receive(now, send.Message))
+			}
+		}
+	}
+	for _, machine := range machines {
+		is.Equal(len(machine.Members()), size)
+	}
+}
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -16,6 +16,9 @@
 	if !now.Before(m.nextTalk) {
 		m.nextTalk = now.Add(m.config.GossipInterval)
 		sends = m.gossip(now, sends)
+		if now.Sub(m.started) < m.config.JoinTime {
+			sends = m.join(sends)
+		}
 	}
 	return sends
 }
@@ -83,17 +86,36 @@
 
 // unknownAddress returns a seed or the address of a dead member to try, or "".
 func (m *Machine) unknownAddress() string {
-	candidates := []string{}
+	candidates, alone := m.unknownAddresses()
+	if !alone && m.config.Random.IntN(unknownAddressOdds) != 0 {
+		return ""
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[m.config.Random.IntN(len(candidates))]
+}
+
+// join exchanges whole lists with a few of the addresses where nobody is known.
+func (m *Machine) join(sends []Send) []Send {
+	candidates, _ := m.unknownAddresses()
+	for range min(m.config.JoinFanout, len(candidates)) {
+		pick := m.config.Random.IntN(len(candidates))
+		sends = append(sends, m.send(candidates[pick], Sync, nil))
+		candidates = append(candidates[:pick], candidates[pick+1:]...)
+	}
+	return sends
+}
+
+// unknownAddresses returns the seeds and the addresses of dead members where
+// nobody is known to be alive, and whether nobody is known at all.
+func (m *Machine) unknownAddresses() (candidates []string, alone bool) {
 	live := map[string]bool{m.self.Control: true}
 	for _, member := range m.Members() {
 		if member.Status != Dead {
 			live[member.Control] = true
 		}
 	}
-	alone := len(live) == 1
-	if !alone && m.config.Random.IntN(unknownAddressOdds) != 0 {
-		return ""
-	}
 	for _, seed := range m.seeds {
 		if !live[seed] {
 			candidates = append(candidates, seed)
@@ -104,10 +126,7 @@
 			candidates = append(candidates, member.Control)
 		}
 	}
-	if len(candidates) == 0 {
-		return ""
-	}
-	return candidates[m.config.Random.IntN(len(candidates))]
+	return candidates, len(live) == 1
 }
 
 // gossip sends updates to a few random members while there are any.
--- a/membership/types.go
+++ b/membership/types.go
@@ -118,6 +118,13 @@
 	// ForgetAfter is how long dead members are remembered and probed. Default 1h.
 	ForgetAfter time.Duration
 
+	// JoinTime is how long after its start a process exchanges whole lists with
+	// addresses that it was given and knows nobody at, in each GossipInterval.
+	// Longer finds more of a mesh that starts slowly, shorter sends fewer
+	// messages to addresses where nobody is. Default 5s.
+	JoinTime time.Duration
+	// JoinFanout is the number of such addresses that are tried at once. Default 3.
+	JoinFanout int
 	// NoSuspectNotice switches off that a suspected member is told so directly
 	// when it sends a message. It exists to be compared against.
 	NoSuspectNotice bool
@@ -154,6 +161,12 @@
 	if c.SyncInterval == 0 {
 		c.SyncInterval = 30 * c.ProbeInterval
 	}
+	if c.JoinTime == 0 {
+		c.JoinTime = 5 * time.Second
+	}
+	if c.JoinFanout == 0 {
+		c.JoinFanout = 3
+	}
 	if c.ForgetAfter == 0 {
 		c.ForgetAfter = time.Hour
 	}
--- a/plugin/membership/machines.go
+++ b/plugin/membership/machines.go
@@ -19,12 +19,15 @@
 const (
 	pollInterval   = 2 * time.Second
 	machineWatches = 3
+	// At its start a process looks more often, for others that start as well.
+	earlyPolls    = 4
+	earlyInterval = 400 * time.Millisecond
 )
 
 // pollMachines reads the machine list now and then. The list adds addresses to
 // try and tells machines that they are leaving. It never removes a member.
 func (m *mesh) pollMachines(ctx context.Context) {
-	reachable := true
+	reachable, polls := true, 0
 	for {
 		if m.watches() {
 			machines, err := m.process.Machines.List(ctx)
@@ -38,8 +41,12 @@
 				m.use(ctx, machines)
 			}
 		}
+		wait := pollInterval
+		if polls++; polls <= earlyPolls {
+			wait = earlyInterval
+		}
 		select {
-		case <-time.After(pollInterval/2 + rand.N(pollInterval)):
+		case <-time.After(wait/2 + rand.N(wait)):
 		case <-ctx.Done():
 			return
 		}
