Remove the name of a header that nothing reads

Cause: the dialect named the signature of back ends' answers; answers are passed on unchanged, so that nothing asks for it. Conclusion: no change of behaviour.

--- a/wire/dialect.go
+++ b/wire/dialect.go
@@ -27,9 +27,6 @@
 	// NotRun is, on answers of back ends, the promise that the request was not
 	// run and will not be.
 	NotRun string
-	// Seal is, on answers of back ends, their signature. An answer that carries
-	// it is passed on unchanged.
-	Seal string
 	// ParentID guesses from the name of a request the name of the one that it
 	// was made for. Nil: requests do not show it. A guess only links requests
 	// that meet at one node; nothing may depend on it.
