One function says what a lost answer of a store means

Cause: the Consul adapter and that of the users' platform each decided it, with the same lines. Change: store.Lost serves both; messages and codes are as before.

--- a/store/consulkv/client.go
+++ b/store/consulkv/client.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/store"
 )
 
 // maximumResponse bounds how much of an answer is read, in bytes.
@@ -78,27 +78,17 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return answer{}, classify(method, err)
+		return answer{}, store.Lost(err, method != http.MethodGet)
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maximumResponse))
 	if err != nil {
-		return answer{}, classify(method, err)
+		return answer{}, store.Lost(err, method != http.MethodGet)
 	}
 	got := answer{status: response.StatusCode, header: response.Header, body: content}
 	return got, statusError(method, got)
 }
 
-// classify decides whether a failed request may have taken effect.
-func classify(method string, err error) error {
-	var operation *net.OpError
-	dialFailed := errors.As(err, &operation) && operation.Op == "dial"
-	if method == http.MethodGet || dialFailed {
-		return result.Wrap(result.StoreUnavailable, err, "the store did not answer")
-	}
-	return result.Wrap(result.EditOutcomeUnknown, err, "the store's answer to a write was lost")
-}
-
 func statusError(method string, got answer) error {
 	switch {
 	case got.status < 300 || got.status == http.StatusNotFound:
