A caller is looked after only while requests lie behind the present one

Cause: each request left a timer that fired every 200 ms and asked the connection for its end, at both listeners; each call drew two identities from the system's random source, and copied the caller's headers although nobody else reads them. Found by counting system calls and wake-ups of a request: the users' machines charge each of them. Ruled out: dropping the look altogether, since Go's server does not notice a caller that leaves behind a pipelined request (the test hangs without it). Change: the look begins when a byte of a later request has been read, only at listeners of callers; names are a random part and a count; no second copy.

--- a/kernel/outbound.go
+++ b/kernel/outbound.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/loomcleat/loomcleat/admission"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/retrybudget"
@@ -61,7 +59,7 @@
 
 // grant starts a user request.
 func (p *Process) grant(call *Call, class policy.Class, retries int) {
-	call.Request = uuid.NewString()
+	call.Request = p.NewIdentity()
 	call.Priority = admission.Priority(int(class), call.Request)
 	call.Deadline = p.deadlineOf(call)
 	call.Budget = retrybudget.Open(retries)
--- a/kernel/peer.go
+++ b/kernel/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,43 +23,117 @@
 // peerInterval is the time between two looks at whether a caller is still there.
 const peerInterval = 200 * time.Millisecond
 
-// watchPeer calls gone when the caller of a request closes its connection, until
-// stop is called.
+// callerListener accepts the connections of callers as callerConns.
+type callerListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: conn}, nil
+}
+
+// callerConn is a connection on which callers may send requests behind the one
+// that is being served.
 //
-// Go's server notices this by itself only as long as the caller sends nothing
-// behind the request: the first byte of a pipelined one ends its watch.
+// Go's server notices by itself that a caller has closed its connection, by a
+// read of one byte beside the handler. The first byte of a request behind the
+// present one ends that read. From then on, callerConn looks by itself.
+type callerConn struct {
+	net.Conn
+	mutex  sync.Mutex
+	behind bool   // a byte of a later request has been read
+	gone   func() // of the request that is being served, nil between requests
+	look   *time.Timer
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if len(data) == 1 && n == 1 {
+		c.foundMore()
+	}
+	return n, err
+}
+
+// foundMore takes note of a byte behind the request that is being served.
+func (c *callerConn) foundMore() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.behind = true
+	c.lookLater()
+}
+
+// lookLater has the connection looked at after a while. The mutex is held.
+func (c *callerConn) lookLater() {
+	switch {
+	case !c.behind || c.gone == nil:
+	case c.look == nil:
+		c.look = time.AfterFunc(peerInterval, c.lookNow)
+	default:
+		c.look.Reset(peerInterval)
+	}
+}
+
+func (c *callerConn) lookNow() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.gone == nil {
+		return
+	}
+	if peerClosed(c.Conn) {
+		c.gone()
+		return
+	}
+	c.lookLater()
+}
+
+// watch calls gone when the peer closes the connection while a later request
+// lies on it, until unwatch is called.
+func (c *callerConn) watch(gone func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.gone = gone
+	c.lookLater()
+}
+
+func (c *callerConn) unwatch() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.gone, c.behind = nil, false
+	if c.look != nil {
+		c.look.Stop()
+	}
+}
+
+// watchPeer calls gone when the caller of a request closes its connection and
+// Go's server cannot notice it, until stop is called.
 func watchPeer(r *http.Request, gone func()) (stop func()) {
-	conn, ok := r.Context().Value(connectionKey{}).(syscall.Conn)
+	conn, ok := r.Context().Value(connectionKey{}).(*callerConn)
 	if !ok {
 		return func() {}
 	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return func() {}
-	}
-	stopped := make(chan struct{})
-	var look func()
-	look = func() {
-		select {
-		case <-stopped:
-			return
-		default:
-		}
-		if peerClosed(raw) {
-			gone()
-			return
-		}
-		time.AfterFunc(peerInterval, look)
-	}
-	time.AfterFunc(peerInterval, look)
-	return func() { close(stopped) }
+	conn.watch(gone)
+	return conn.unwatch
 }
 
 // peerClosed reports whether the peer of a connection has closed it, whatever it
 // has sent before. It reports false when that cannot be told.
-func peerClosed(raw syscall.RawConn) bool {
+func peerClosed(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
 	closed := false
-	_ = raw.Control(func(descriptor uintptr) {
+	_ = control.Control(func(descriptor uintptr) {
 		poll := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
 		ready, err := unix.Poll(poll, 0)
 		closed = err == nil && ready > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -130,6 +130,7 @@
 	draining   atomic.Bool
 	executions *Executions
 	splits     splitCounters
+	identities identities
 	endpoints  []Endpoint
 	listeners  listeners
 	servers    servers
@@ -192,6 +193,7 @@
 	p.Policy.Store(policy.NewIndex(nil))
 	p.Members.Store(&[]membership.Member{})
 	p.executions = newExecutions(p.ID)
+	p.identities.setUp()
 	p.middleware = [2]map[string]Middleware{{}, {}}
 	p.Dial = options.Dial
 	p.endpoints = options.Endpoints
--- a/kernel/servers.go
+++ b/kernel/servers.go
@@ -33,14 +33,14 @@
 func newServers(p *Process) servers {
 	s := servers{controlRoutes: http.NewServeMux()}
 	if p.listeners.traffic != nil {
-		handler := http.HandlerFunc(p.serveInbound)
-		if !p.IsNode() {
-			handler = p.serveGateway
+		if p.IsNode() {
+			s.add(p.listeners.traffic, http.HandlerFunc(p.serveInbound))
+		} else {
+			s.add(callerListener{Listener: p.listeners.traffic}, http.HandlerFunc(p.serveGateway))
 		}
-		s.add(p.listeners.traffic, handler)
 	}
 	if p.listeners.outbound != nil {
-		s.add(p.listeners.outbound, p.outboundHandler())
+		s.add(callerListener{Listener: p.listeners.outbound}, p.outboundHandler())
 	}
 	if p.listeners.admin != nil {
 		s.add(p.listeners.admin, p.adminRoutes())
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	header := r.Header.Clone()
+	header := r.Header // nobody else reads it any more
 	wire.RemoveHopByHop(header)
 	call := &Call{
 		Service:     to.service,
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/loomcleat/loomcleat/balance"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
@@ -153,7 +151,7 @@
 // attempt sends the call to one node.
 func (r *router) attempt(call *kernel.Call, balancer *balance.Balancer, target balance.Target) (*kernel.Answer, error) {
 	started := time.Now()
-	call.Attempt = uuid.NewString()
+	call.Attempt = r.process.NewIdentity()
 	loan := call.Budget.Lend()
 	header := r.header(call, loan, started)
 	if call.Execution != nil {
