Less memory for each connection, shorter headers, the collector at its default

Each request between nodes named a claim key of 64 zeros. Ruled out: the collector at 200 (19 MB instead of 14, the same processor time). Change: buffers of 4 KiB, headers that are 0 are left out, the collector is not tuned any more.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"io"
 	"os"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -77,18 +76,6 @@
 	})
 }
 
-// gcPercent makes the garbage collector run when the heap has grown to five
-// times what was live, instead of twice. The live heap of a process is a few MB,
-// so that this costs little memory; it shortens the slowest calls.
-const gcPercent = 400
-
-// tuneGarbageCollector sets gcPercent unless the environment sets GOGC.
-func tuneGarbageCollector() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
-}
-
 // logQueue is the number of lines of the log that may wait for a reader.
 const logQueue = 1024
 
@@ -99,7 +86,6 @@
 // are those of the source, which is read again on SIGHUP and when its file
 // changes.
 func Run(source Source) error {
-	tuneGarbageCollector()
 	s, err := source.Load()
 	if err != nil {
 		return err
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/admission"
-	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/retrybudget"
@@ -93,12 +92,17 @@
 	call.Hops = number(header, wire.HeaderHops, 0)
 	call.Repeat = header.Get(wire.HeaderRepeat) != ""
 	call.Policy.TargetLatency = time.Duration(number(header, wire.HeaderTarget, 0)) * time.Millisecond
-	var key claims.Key
-	if err := key.UnmarshalText([]byte(header.Get(wire.HeaderClaimKey))); err != nil {
-		return err
+	return readClaimKey(call)
+}
+
+// readClaimKey reads the key of a call that may not be repeated. Others have
+// none.
+func readClaimKey(call *Call) error {
+	text := call.Header.Get(wire.HeaderClaimKey)
+	if text == "" {
+		return nil
 	}
-	call.ClaimKey = key
-	return nil
+	return call.ClaimKey.UnmarshalText([]byte(text))
 }
 
 // number reads a whole number from a header.
--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -47,6 +47,11 @@
 	Refused result.Code
 }
 
+// connectionBuffer is the size of the two buffers of each connection, in bytes.
+// Most requests and answers fit. A node keeps hundreds of connections, so that
+// larger ones cost more memory than they save calls of the system.
+const connectionBuffer = 4 << 10
+
 // countingConn counts the bytes that were written.
 type countingConn struct {
 	net.Conn
@@ -80,8 +85,8 @@
 			MaxIdleConnsPerHost: config.MaximumIdle,
 			MaxConnsPerHost:     config.MaximumConnections,
 			IdleConnTimeout:     config.IdleTimeout,
-			WriteBufferSize:     16 << 10,
-			ReadBufferSize:      16 << 10,
+			WriteBufferSize:     connectionBuffer,
+			ReadBufferSize:      connectionBuffer,
 		},
 	}
 }
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/balance"
+	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -224,7 +225,7 @@
 	}
 }
 
-// header builds the headers of an attempt.
+// header builds the headers of an attempt. What is 0 is left out.
 func (r *router) header(call *kernel.Call, loan int, now time.Time) http.Header {
 	header := call.Header.Clone()
 	header[wire.HeaderService] = []string{call.Service}
@@ -232,15 +233,21 @@
 	header[wire.HeaderAttempt] = []string{call.Attempt}
 	header[wire.HeaderPriority] = []string{strconv.Itoa(call.Priority)}
 	header[wire.HeaderRemaining] = []string{strconv.FormatInt(call.Deadline.Sub(now).Microseconds(), 10)}
-	header[wire.HeaderBudget] = []string{strconv.Itoa(loan)}
-	header[wire.HeaderHops] = []string{strconv.Itoa(call.Hops)}
+	if loan > 0 {
+		header[wire.HeaderBudget] = []string{strconv.Itoa(loan)}
+	}
+	if call.Hops > 0 {
+		header[wire.HeaderHops] = []string{strconv.Itoa(call.Hops)}
+	}
 	if target := call.Policy.TargetLatency; target > 0 {
 		header[wire.HeaderTarget] = []string{strconv.FormatInt(target.Milliseconds(), 10)}
 	}
 	if call.Repeat {
 		header[wire.HeaderRepeat] = []string{"1"}
 	}
-	header[wire.HeaderClaimKey] = []string{call.ClaimKey.String()}
+	if call.ClaimKey != (claims.Key{}) {
+		header[wire.HeaderClaimKey] = []string{call.ClaimKey.String()}
+	}
 	return header
 }
 
