Requests that are larger than the policy allows are refused

Cause: the limits on headers and bodies in the operator's configuration were read and not applied (left open by docs/design/platform.md). Not measured on its own: the users' callers stay within the limits.

--- a/kernel/outbound.go
+++ b/kernel/outbound.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkLimits(r, p.Policy.Load().Limits()); err != nil {
+		return nil, err
+	}
 	call, err := p.newCall(r, to)
 	if err != nil {
 		return nil, err
--- a/result/codes.go
+++ b/result/codes.go
@@ -58,9 +58,11 @@
 
 // Codes of requests that are not acceptable.
 const (
-	BadRequest Code = 4001
-	KeyReused  Code = 4002
-	NoRoute    Code = 4003
+	BadRequest     Code = 4001
+	KeyReused      Code = 4002
+	NoRoute        Code = 4003
+	HeaderTooLarge Code = 4004
+	BodyTooLarge   Code = 4005
 )
 
 // Codes of defects.
@@ -109,6 +111,8 @@
 	{BadRequest, "bad-request", http.StatusBadRequest, true, "The request is malformed."},
 	{KeyReused, "key-reused", http.StatusUnprocessableEntity, true, "The Idempotency-Key was used before for a different request."},
 	{NoRoute, "no-route", http.StatusNotFound, true, "No route of the policy in force leads to the host and path."},
+	{HeaderTooLarge, "header-too-large", http.StatusRequestHeaderFieldsTooLarge, true, "The header of the request is larger than the policy in force allows."},
+	{BodyTooLarge, "body-too-large", http.StatusRequestEntityTooLarge, true, "The body of the request is larger than the policy in force allows."},
 	{Internal, "internal", http.StatusInternalServerError, false, "A defect in loomcleat; the log has the details."},
 }
 
