loomcleat explain tells from logs what became of a request

Cause: an on-call engineer had to search the logs of all nodes by hand; a back end's 500 that a refused call deep down had caused left no line at all, nor did a machine list, a seed or a member that came back. Events 309 to 311 and 414; the line of a start tells the settings. Not measured: the cost of the added lines; they are bounded like all others.

--- a/event/events.go
+++ b/event/events.go
@@ -42,24 +42,28 @@
 	MachineListDown     Number = 306
 	Registered          Number = 307
 	RegistryUnreachable Number = 308
+	MachineListUp       Number = 309
+	PeerRegained        Number = 310
+	MemberRecovered     Number = 311
 )
 
 // Events of request traffic.
 const (
-	BackendDown       Number = 400
-	BackendUp         Number = 401
-	BackendDraining   Number = 402
-	NodeEjected       Number = 403
-	NodeRestored      Number = 404
-	AnswerMismatch    Number = 405
-	RequestPanic      Number = 406
-	AdmissionLevelSet Number = 407
-	InstanceChanged   Number = 408
-	HeartbeatRefused  Number = 409
-	RequestFailed     Number = 410
-	RequestRefused    Number = 411
-	AttemptRepeated   Number = 412
-	GateMoved         Number = 413
+	BackendDown         Number = 400
+	BackendUp           Number = 401
+	BackendDraining     Number = 402
+	NodeEjected         Number = 403
+	NodeRestored        Number = 404
+	AnswerMismatch      Number = 405
+	RequestPanic        Number = 406
+	AdmissionLevelSet   Number = 407
+	InstanceChanged     Number = 408
+	HeartbeatRefused    Number = 409
+	RequestFailed       Number = 410
+	RequestRefused      Number = 411
+	AttemptRepeated     Number = 412
+	GateMoved           Number = 413
+	AnsweredWithFailure Number = 414
 )
 
 // Events of at-most-once claims.
@@ -106,6 +110,9 @@
 	{MachineListDown, "machine-list-down", "warn", "The machine list does not answer; members known so far are kept."},
 	{Registered, "registered", "info", "This process has entered itself where others look for members."},
 	{RegistryUnreachable, "registry-unreachable", "warn", "This process could not enter or remove itself where others look for members; entering is tried again."},
+	{MachineListUp, "machine-list-up", "info", "The machine list answers again."},
+	{PeerRegained, "peer-regained", "info", "A seed address that did not answer does so again."},
+	{MemberRecovered, "member-recovered", "info", "A member that was suspected or dead is alive."},
 	{BackendDown, "backend-down", "warn", "The back end beside this node refuses connections."},
 	{BackendUp, "backend-up", "info", "The back end beside this node accepts connections again."},
 	{BackendDraining, "backend-draining", "info", "The back end beside this node said that it is draining."},
@@ -120,6 +127,7 @@
 	{RequestRefused, "request-refused", "info", "A request was refused and did not run."},
 	{AttemptRepeated, "attempt-repeated", "info", "An attempt of a call failed and another one is made."},
 	{GateMoved, "gate-moved", "info", "The share of a route's requests that is admitted at this entry went below or above a half, or to all."},
+	{AnsweredWithFailure, "answered-with-failure", "info", "A back end answered with a status of 500 or more, which was passed on."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,6 +25,7 @@
 	Gateway gatewayCommand `cmd:"" help:"Run the door for callers."`
 	Config  configCommand  `cmd:"" help:"Read and edit the policy tree in the store."`
 	Status  statusCommand  `cmd:"" help:"Show the processes of a mesh and the policy revision that each has."`
+	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Demo    demoCommand    `cmd:"" help:"Run a small mesh with stand-ins inside this process."`
 }
 
@@ -35,6 +36,7 @@
   loomcleat node --config node.yaml    beside each back end
   loomcleat gateway --config gw.yaml   the door for callers
   loomcleat config set --store http://127.0.0.1:8500 sales/cabins/booking class=critical
+  loomcleat explain ID node-*.log      what became of a request
 
 Errors are numbered (docs/RESULTS.md), log events too (docs/EVENTS.md). Exit
 status: 0 done, 1 failed, 2 wrong command line or settings.`
--- a/kernel/account.go
+++ b/kernel/account.go
@@ -34,6 +34,16 @@
 	p.Log.Emit(number, pairs...)
 }
 
+// logFailureAnswer writes the line of a request that a back end answered with a
+// failure.
+func (p *Process) logFailureAnswer(call *Call, direction string, answer *Answer, taken time.Duration) {
+	if answer.StatusCode < http.StatusInternalServerError {
+		return
+	}
+	pairs := append([]any{"direction", direction, "status", answer.StatusCode, "taken_ms", taken.Milliseconds()}, callPairs(call)...)
+	p.Log.Emit(event.AnsweredWithFailure, pairs...)
+}
+
 // callPairs are what is told of a call in each line about it.
 func callPairs(call *Call) []any {
 	pairs := []any{
--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -23,7 +23,8 @@
 
 // Directions of requests in metrics.
 const (
-	directionInbound  = "inbound"
+	// DirectionInbound is that of requests to the own back end.
+	DirectionInbound  = "inbound"
 	directionOutbound = "outbound"
 	directionGateway  = "gateway"
 )
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -14,7 +14,7 @@
 
 // serveInbound serves a call of another process for the own back end.
 func (p *Process) serveInbound(w http.ResponseWriter, r *http.Request) {
-	p.serve(w, r, directionInbound, p.inbound, p.inboundCall)
+	p.serve(w, r, DirectionInbound, p.inbound, p.inboundCall)
 }
 
 // addReport adds to an answer what the calling process needs to know.
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -14,8 +14,7 @@
 
 // Start serves until Stop. It implements transport.Server of kratos.
 func (p *Process) Start(context.Context) error {
-	p.Log.Emit(event.ProcessStarting, "id", p.ID, "role", string(p.Settings.Role), "zone", p.Settings.Zone,
-		"listen", p.TrafficAddress(), "control", p.ControlAddress(), "admin", p.AdminAddress(), "outbound", p.OutboundAddress())
+	p.logStart()
 	p.HandleControl("GET "+wire.PathStatus, p.serveStatus)
 	failed := make(chan error, len(p.servers.list))
 	p.servers.start(p, failed)
@@ -33,6 +32,17 @@
 	}
 }
 
+// logStart writes the line of a start: who this is and the settings in force.
+func (p *Process) logStart() {
+	s := &p.Settings
+	p.Log.Emit(event.ProcessStarting, "id", p.ID, "role", string(s.Role), "region", s.Region, "zone", s.Zone,
+		"service", s.Service, "backend", s.Backend,
+		"listen", p.TrafficAddress(), "control", p.ControlAddress(), "admin", p.AdminAddress(), "outbound", p.OutboundAddress(),
+		"entry", s.Entry, "store", s.Store, "store_api", s.StoreAPI, "claims", s.Claims,
+		"retry_ratio", s.RetryBudget.Ratio, "retry_slack", s.RetryBudget.Slack, "retry_window", s.RetryBudget.Window.Std().String(),
+		"backend_drain", s.BackendDrain.Std().String(), "stop_within", s.StopWithin.Std().String())
+}
+
 // waitReady marks the process ready once all conditions hold.
 func (p *Process) waitReady() {
 	ticker := time.NewTicker(readinessInterval)
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -50,6 +50,7 @@
 		return
 	}
 	defer answer.Body.Close()
+	p.logFailureAnswer(call, direction, answer, time.Since(started))
 	writeAnswer(w, answer.Response)
 }
 
--- a/plugin/membership/machines.go
+++ b/plugin/membership/machines.go
@@ -33,9 +33,7 @@
 			machines, err := m.process.Machines.List(ctx)
 			if (err == nil) != reachable && ctx.Err() == nil {
 				reachable = err == nil
-				if !reachable {
-					m.process.Log.Emit(event.MachineListDown, "error", err)
-				}
+				m.logReachable(err)
 			}
 			if err == nil {
 				m.use(ctx, machines)
@@ -53,6 +51,14 @@
 	}
 }
 
+func (m *mesh) logReachable(err error) {
+	if err != nil {
+		m.process.Log.Emit(event.MachineListDown, "error", err)
+		return
+	}
+	m.process.Log.Emit(event.MachineListUp)
+}
+
 // watches reports whether this process is one of those that poll.
 func (m *mesh) watches() bool {
 	return spread.Watches(m.process.ID, kernel.LiveIDs(*m.process.Members.Load()), machineWatches)
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -146,6 +146,9 @@
 // answer. It runs on the control loop.
 func (m *mesh) noteSilence(send membership.Send, err error) {
 	if err == nil {
+		if m.silent[send.To] {
+			m.process.Log.Emit(event.PeerRegained, "address", send.To)
+		}
 		delete(m.silent, send.To)
 		return
 	}
@@ -220,6 +223,8 @@
 		m.process.Log.Emit(event.MemberDead, "member", after.ID)
 	case after.Status == membership.Suspect && before.Status == membership.Alive:
 		m.process.Log.Emit(event.MemberSuspected, "member", after.ID, "by", after.Accuser)
+	case after.Status == membership.Alive && before.Status != membership.Alive:
+		m.process.Log.Emit(event.MemberRecovered, "member", after.ID)
 	case after.Leaving && !before.Leaving:
 		m.process.Log.Emit(event.MemberLeaving, "member", after.ID)
 	}
