Routing, balancer and process are files with one job each

Change: moved as they were: routing into set-up, choice, attempt and answer; the balancer into its configuration, cost, outcomes and levels; of the process, its options, what plug-ins provide, and its listeners. Nothing else changed; tests of the packages passed.

--- /dev/null
+++ b/balance/cost.go
@@ -0,0 +1,43 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// awayFactor is how much better a node of another zone must be to be chosen over
+// one of the own: bytes between zones cost, and zones lose each other.
+const awayFactor = 1.2
+
+// minimumLatency keeps the cost of a node that has not answered yet above 0.
+const minimumLatency = 0.0005
+
+func (b *Balancer) cost(now time.Time, s *state) float64 {
+	latency := max(s.latency*decay(now.Sub(s.learnedAt), b.config.LatencyHalfLife), minimumLatency)
+	switch {
+	case s.target.Region != b.config.Region:
+		latency += b.config.RegionCost.Seconds()
+	case s.target.Zone != b.config.Zone:
+		latency += b.config.ZoneCost.Seconds()
+	}
+	cost := latency * float64(s.inFlight+1)
+	if s.target.Zone != b.config.Zone || s.target.Region != b.config.Region {
+		cost *= awayFactor
+	}
+	if age := now.Sub(s.target.Since); age < b.config.WarmUp {
+		warm := max(age.Seconds()/b.config.WarmUp.Seconds(), 0.1)
+		cost /= warm
+	}
+	served := 1 - s.refusals.at(now, b.config.RefusalHalfLife)
+	sound := 1 - s.faults.at(now, b.config.FaultHalfLife)
+	return cost / max(served*math.Pow(sound, faultWeight), leastYield)
+}
+
+const (
+	// faultWeight is how much more a failed call costs than a refused one, which
+	// is offered to another node at no loss: a failed one needs a retry, of which
+	// there are few, or is lost.
+	faultWeight = 3
+	// leastYield bounds how much refused and failed calls raise the cost.
+	leastYield = 0.01
+)
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,87 +11,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/loomcleat/loomcleat/event"
-	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/policy"
-	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/settings"
 	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
-// Options are what a Process is given by the program that embeds it.
-type Options struct {
-	Settings settings.Settings
-	Log      *event.Logger
-	Store    store.Store       // nil: none
-	Machines store.MachineList // nil: none
-	// Dial opens connections to other processes. Embedders may use it to reach
-	// them in another way, tests to cut them off. Default: a net.Dialer.
-	Dial DialFunc
-	// Dialect names the headers of callers and back ends. The zero value is
-	// that of plain HTTP.
-	Dialect wire.Dialect
-	// Endpoints are further listeners, for what the platform asks of a process.
-	Endpoints []Endpoint
-	// Registry is where the process enters itself, so that others find it.
-	// Nil: none.
-	Registry store.Registry
-	// Hollow leaves out the traffic listeners. Hollow processes measure the
-	// cost of control.
-	Hollow bool
-}
-
-// Endpoint is a listener that is served apart from those of the settings.
-type Endpoint struct {
-	Address string // IP:port
-	Handler func(process *Process) http.Handler
-}
-
-// DialFunc opens a TCP connection to an address.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Documents is what the plug-in that spreads documents provides.
-type Documents interface {
-	// Revisions returns the revisions that this process has.
-	Revisions() wire.Revisions
-	// Heard tells of the revisions that a peer has. It does not block.
-	Heard(peer string, revisions wire.Revisions)
-	// Offer takes a document that was learned in another way, if it is newer.
-	Offer(ctx context.Context, name wire.DocumentName, data []byte) error
-	// Subscribe calls adopt on the control loop for each new revision. It must
-	// be called during set-up.
-	Subscribe(name wire.DocumentName, adopt func(now time.Time, data []byte))
-}
-
-// Mesh is what the plug-in that keeps the membership provides. Its methods are
-// called on the control loop.
-type Mesh interface {
-	// SetState announces whether this process leaves and its back end is down.
-	SetState(leaving, down bool)
-	// SetPlaces announces the claim group places of others that this process holds.
-	SetPlaces(places []string)
-	// SetSeeds replaces the addresses at which the mesh is looked for.
-	SetSeeds(seeds []string)
-	// Announce spreads the revisions of this process at once.
-	Announce()
-}
-
-// BackEnd is what the plug-in that follows the back end's heartbeats provides.
-type BackEnd interface {
-	// Observe takes a heartbeat. When it returns nil, what the heartbeat says is
-	// in force here and is being announced.
-	Observe(ctx context.Context, report instance.Report) error
-	// Leave takes the goodbye of an incarnation.
-	Leave(ctx context.Context, id string) error
-	// Found tells which incarnation refused a request that was meant for another.
-	Found(expected, actual string)
-	// Unreachable tells that no connection to the back end could be opened.
-	Unreachable()
-	// State returns what is known now.
-	State() instance.State
-}
-
 // Process is one loomcleat process: a node or a gateway.
 type Process struct {
 	Settings settings.Settings
@@ -166,12 +91,6 @@
 	return ids
 }
 
-// listeners are the bound addresses of a process.
-type listeners struct {
-	traffic, outbound, control, admin net.Listener
-	endpoints                         []net.Listener // as Process.endpoints
-}
-
 // New binds the listeners of a process and sets up its plug-ins. Nothing is
 // served before Start.
 func New(options Options) (*Process, error) {
@@ -222,70 +141,9 @@
 	return name + "-" + uuid.NewString()[:13]
 }
 
-// listen binds all addresses, or none.
-func (p *Process) listen() error {
-	targets := []struct {
-		address string
-		into    *net.Listener
-		wanted  bool
-	}{
-		{p.Settings.Listen, &p.listeners.traffic, !p.hollow},
-		{p.Settings.Outbound, &p.listeners.outbound, !p.hollow && p.IsNode()},
-		{p.Settings.Control, &p.listeners.control, true},
-		{p.Settings.Admin, &p.listeners.admin, !p.hollow},
-	}
-	for _, target := range targets {
-		if !target.wanted {
-			continue
-		}
-		listener, err := net.Listen("tcp", target.address)
-		if err != nil {
-			p.listeners.close()
-			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", target.address)
-		}
-		*target.into = listener
-	}
-	for _, endpoint := range p.endpoints {
-		listener, err := net.Listen("tcp", endpoint.Address)
-		if err != nil {
-			p.listeners.close()
-			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", endpoint.Address)
-		}
-		p.listeners.endpoints = append(p.listeners.endpoints, listener)
-	}
-	return nil
-}
-
-func (l *listeners) close() {
-	for _, listener := range append([]net.Listener{l.traffic, l.outbound, l.control, l.admin}, l.endpoints...) {
-		if listener != nil {
-			_ = listener.Close()
-		}
-	}
-}
-
-func addressOf(listener net.Listener) string {
-	if listener == nil {
-		return ""
-	}
-	return listener.Addr().String()
-}
-
 // IsNode reports whether this process stands beside a back end.
 func (p *Process) IsNode() bool { return p.Settings.Role == settings.RoleNode }
 
-// TrafficAddress returns the bound traffic address.
-func (p *Process) TrafficAddress() string { return addressOf(p.listeners.traffic) }
-
-// OutboundAddress returns the bound address for calls of the back end.
-func (p *Process) OutboundAddress() string { return addressOf(p.listeners.outbound) }
-
-// ControlAddress returns the bound control address.
-func (p *Process) ControlAddress() string { return addressOf(p.listeners.control) }
-
-// AdminAddress returns the bound address for metrics and probes.
-func (p *Process) AdminAddress() string { return addressOf(p.listeners.admin) }
-
 // UseInbound adds a plug-in's middleware for calls to the back end.
 func (p *Process) UseInbound(name string, middleware Middleware) { p.middleware[0][name] = middleware }
 
--- /dev/null
+++ b/plugin/routing/attempt.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/loomcleat/loomcleat/balance"
+	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// attempt sends the call to one node.
+func (r *router) attempt(call *kernel.Call, balancer *balance.Balancer, target balance.Target) (*kernel.Answer, error) {
+	started := time.Now()
+	call.Attempt = r.process.NewIdentity()
+	loan := call.Budget.Lend()
+	header := r.header(call, loan, started)
+	if call.Execution != nil {
+		call.Execution.BeginChild(started)
+	}
+	ctx, cancel := context.WithCancelCause(call.Context)
+	bounded := r.boundAttempt(call, balancer, target, cancel)
+	response, err := r.transmitter.Send(ctx, call, target.Address, header)
+	bounded.Stop() // the answer itself may take as long as the deadline allows
+	finish := func(outcome balance.Outcome) {
+		cancel(nil)
+		now := time.Now()
+		balancer.Done(now, target.ID, now.Sub(started), outcome)
+		if call.Execution != nil {
+			call.Execution.EndChild(now)
+		}
+	}
+	if err != nil {
+		if result.From(err).NotRun() {
+			call.Budget.Repay(loan, loan) // the loan never left this process
+		}
+		if result.From(err).Code == result.DeadlineExceeded {
+			addPressure(call, timeoutPressure)
+		}
+		finish(outcomeOf(call, err))
+		return nil, err
+	}
+	answer, err := r.read(call, balancer, target, response, loan)
+	if err != nil {
+		finish(outcomeOf(call, err))
+		return nil, err
+	}
+	answer.Body = &attemptBody{ReadCloser: answer.Body, finish: finish, whole: outcomeOfStatus(answer.StatusCode)}
+	return answer, nil
+}
+
+// Bounds of the time for one attempt of a call that can be sent again.
+const (
+	attemptLatencies   = 8                      // times the usual latency
+	minimumAttemptTime = 500 * time.Millisecond // at least
+	claimedAttemptTime = 2 * time.Second        // at least, for a call that may not be repeated
+)
+
+// boundAttempt ends one attempt of a call that can be sent again when its answer
+// does not begin in time, so that a node that hangs leaves time for another. A
+// call that may not be repeated goes on at its node; the next attempt finds its
+// claim and waits for its answer.
+func (r *router) boundAttempt(call *kernel.Call, balancer *balance.Balancer, target balance.Target, cancel context.CancelCauseFunc) *time.Timer {
+	limit := time.Until(call.Deadline)
+	if call.Body.Replayable() && call.Budget.Left() > 0 && balancer.Size() > 1 {
+		least := minimumAttemptTime
+		if !call.Policy.Repeatable {
+			least = claimedAttemptTime
+		}
+		limit = min(limit, max(attemptLatencies*balancer.Latency(target.ID), least))
+	}
+	return time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
+}
+
+// outcomeOf decides whether a failed attempt speaks against the node, be it seen
+// here or told by the node.
+func outcomeOf(call *kernel.Call, err error) balance.Outcome {
+	if call.Context.Err() == context.Canceled {
+		return balance.Unknown
+	}
+	typed := result.From(err)
+	switch typed.Code {
+	case result.CallerGone, result.CallerCancelled, result.DeadlineTooShort:
+		return balance.Unknown
+	case result.NodeRefused:
+		return balance.Failed
+	}
+	if typed.NotRun() {
+		return balance.Refused
+	}
+	return balance.Failed
+}
+
+// outcomeOfStatus is the outcome of a whole answer of a back end.
+func outcomeOfStatus(status int) balance.Outcome {
+	if status >= http.StatusInternalServerError {
+		return balance.Faulty
+	}
+	return balance.Answered
+}
+
+// header builds the headers of an attempt. What is 0 is left out.
+func (r *router) header(call *kernel.Call, loan int, now time.Time) http.Header {
+	header := call.Header.Clone()
+	header[wire.HeaderService] = []string{call.Service}
+	header[wire.HeaderRequest] = []string{call.Request}
+	header[wire.HeaderAttempt] = []string{call.Attempt}
+	header[wire.HeaderPriority] = []string{strconv.Itoa(call.Priority)}
+	header[wire.HeaderRemaining] = []string{strconv.FormatInt(call.Deadline.Sub(now).Microseconds(), 10)}
+	if loan > 0 {
+		header[wire.HeaderBudget] = []string{strconv.Itoa(loan)}
+	}
+	if call.Hops > 0 {
+		header[wire.HeaderHops] = []string{strconv.Itoa(call.Hops)}
+	}
+	if target := call.Policy.TargetLatency; target > 0 {
+		header[wire.HeaderTarget] = []string{strconv.FormatInt(target.Milliseconds(), 10)}
+	}
+	if call.Repeat {
+		header[wire.HeaderRepeat] = []string{"1"}
+	}
+	if call.ClaimKey != (claims.Key{}) {
+		header[wire.HeaderClaimKey] = []string{call.ClaimKey.String()}
+	}
+	return header
+}
