A document that the store shows again is not decoded again

Change: the watcher passes over an entry whose index it has offered already. Test first: plugin/configsync TestAnEntryIsReadOnce counted 5 decodings of 5 reads.

--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -28,6 +28,7 @@
 	synchronizer *synchronizer
 	document     *document
 	position     uint64 // to wait from, 0: read at once
+	taken        uint64 // index of the entry that was offered last
 	failures     int    // in a row
 	active       bool
 }
@@ -98,10 +99,8 @@
 	if err != nil {
 		return err
 	}
-	if entry.Exists {
-		if err := s.offer(ctx, d, entry.Value, "store"); err != nil {
-			return err
-		}
+	if err := w.take(ctx, entry); err != nil {
+		return err
 	}
 	s.verified(d, asked)
 	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
@@ -115,6 +114,19 @@
 	return nil
 }
 
+// take offers an entry, unless it is the one that was offered last: most waits
+// bring no news, and a document is long.
+func (w *watcher) take(ctx context.Context, entry store.Entry) error {
+	if !entry.Exists || entry.Index == w.taken {
+		return nil
+	}
+	if err := w.synchronizer.offer(ctx, w.document, entry.Value, "store"); err != nil {
+		return err
+	}
+	w.taken = entry.Index
+	return nil
+}
+
 // read reads the document at once, or waits for its next change.
 func (w *watcher) read(ctx context.Context) (store.Entry, error) {
 	s, d := w.synchronizer, w.document
--- a/plugin/configsync/watch_test.go
+++ b/plugin/configsync/watch_test.go
@@ -15,6 +15,7 @@
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/settings"
 	"github.com/loomcleat/loomcleat/store"
+	"github.com/loomcleat/loomcleat/wire"
 )
 
 // silentStore never answers a wait. Reads fail while it is down.
@@ -54,6 +55,38 @@
 	return nil, false, result.New(result.StoreUnavailable, "read only")
 }
 
+// TestAnEntryIsReadOnce: a document that the store shows again and again is decoded
+// once.
+func TestAnEntryIsReadOnce(t *testing.T) {
+	is := is.New(t)
+	steady := &silentStore{revision: 5}
+	s := settings.Default(settings.RoleGateway)
+	s.Listen, s.Control, s.Claims = "127.0.0.1:0", "127.0.0.1:0", false
+	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: steady})
+	is.NoErr(err)
+	go func() { _ = process.Start(t.Context()) }()
+	t.Cleanup(process.Kill)
+	synchronizer, ok := process.Documents.(*synchronizer)
+	is.True(ok)
+	decoded := 0
+	w := &watcher{synchronizer: synchronizer, document: &document{
+		name: wire.DocumentPolicy,
+		revisionOf: func(data []byte) (uint64, error) {
+			decoded++
+			return policyRevision(data)
+		},
+	}}
+	for range 5 {
+		w.position = 0 // read at once
+		is.NoErr(w.once(t.Context()))
+	}
+	is.Equal(decoded, 1)
+	steady.set(false, 6)
+	w.position = 0
+	is.NoErr(w.once(t.Context()))
+	is.Equal(decoded, 2)
+}
+
 // TestWaitsThatAreNeverAnswered: a change is found although no wait is ever
 // answered, also after the store was away.
 func TestWaitsThatAreNeverAnswered(t *testing.T) {
