Processes leave the store alone while peers vouch that there is no policy yet

In the ten seconds before the operator writes the first policy, each of 73 processes waited for it, 0.7 s at a time; that is some 1000 calls, and grows with the processes. Ruled out: registration and lists of members, which are one call and stale reads. Change: a process whose peers vouch for what it has, nothing included, watches only when it is its turn. Test first: plugin/configsync TestAbsenceIsVouchedFor.

--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -33,8 +33,8 @@
 	active       bool
 }
 
-// watch follows one document in the store while it is this process's turn, and
-// until the policy is confirmed at the start.
+// watch follows one document in the store while it is this process's turn: also
+// while there is none yet, since peers vouch for that as well.
 func (s *synchronizer) watch(ctx context.Context, d *document) {
 	w := &watcher{synchronizer: s, document: d}
 	for ctx.Err() == nil {
@@ -59,7 +59,7 @@
 // wanted reports whether it is this process's turn.
 func (w *watcher) wanted() bool {
 	s := w.synchronizer
-	wanted := !s.confirmed.Load() || s.watches()
+	wanted := s.watches()
 	if wanted != w.active {
 		w.active = wanted
 		s.process.Log.Emit(event.StoreWatchChanged, "document", string(w.document.name), "watching", wanted)
--- a/plugin/configsync/watch_test.go
+++ b/plugin/configsync/watch_test.go
@@ -87,6 +87,25 @@
 	is.Equal(decoded, 2)
 }
 
+// TestAbsenceIsVouchedFor: while no policy has been written yet, a process to which
+// peers say so leaves the store to those whose turn it is.
+func TestAbsenceIsVouchedFor(t *testing.T) {
+	is := is.New(t)
+	s := settings.Default(settings.RoleGateway)
+	s.Listen, s.Control, s.Claims, s.PolicyRequired, s.StoreWatches = "127.0.0.1:0", "127.0.0.1:0", false, true, 0
+	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: &silentStore{}})
+	is.NoErr(err)
+	t.Cleanup(process.Kill)
+	synchronizer, ok := process.Documents.(*synchronizer)
+	is.True(ok)
+	w := &watcher{synchronizer: synchronizer, document: synchronizer.documents[wire.DocumentPolicy]}
+	is.True(w.wanted()) // nobody has said anything yet
+	synchronizer.Heard("peer", wire.Revisions{Age: 5})
+	is.True(!w.wanted())
+	synchronizer.Heard("peer", wire.Revisions{Age: 5, Policy: 7})
+	is.True(!process.Ready()) // not before it has that policy
+}
+
 // TestWaitsThatAreNeverAnswered: a change is found although no wait is ever
 // answered, also after the store was away.
 func TestWaitsThatAreNeverAnswered(t *testing.T) {
