Members compare parts of their lists instead of sending them whole

Ruled out: traffic of requests, which is the same for each machine at all sizes. Change: a Sync carries 32 digests; the answer the parts that differ; the first process then sends what the other lacks. News that comes with more than 16 others is not gossiped. Dead members do not count in digests, since not all processes remember them, and lists are compared each probe interval (30 before). Members are found by control address without a search.

--- a/membership/doc.go
+++ b/membership/doc.go
@@ -9,6 +9,12 @@
 // probes and on gossip messages, each of which carries a bounded number of
 // updates.
 //
+// Every message carries a digest of its sender's list. Where digests differ, the
+// two compare the digests of parts of their lists and exchange the parts that
+// differ (anti-entropy). News that comes in bulk this way is not passed on by
+// gossip, so that a mesh that starts at once does not send each record many times
+// to everybody.
+//
 // A process that is stopping, or whose back end is, says so itself: Leaving and
 // Down are part of the record that only the member changes.
 //
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -12,11 +12,13 @@
 type Machine struct {
 	config    Config
 	self      Member
-	members   map[string]*record // without self
-	digest    uint64             // of members and self
-	order     []string           // members still to probe in this round
+	members   map[string]*record   // without self
+	byControl map[string][]*record // members by control address
+	digests   digests              // of members and self
+	order     []string             // members still to probe in this round
 	rumours   rumourQueue
-	rounds    int // gossip rounds still to send without updates
+	quiet     bool // news is not passed on by gossip
+	rounds    int  // gossip rounds still to send without updates
 	seeds     []string
 	started   time.Time
 	nextProbe time.Time
@@ -47,13 +49,14 @@
 		config:    config,
 		self:      config.Self,
 		members:   map[string]*record{},
+		byControl: map[string][]*record{},
 		started:   now,
 		nextProbe: now,
 		nextTalk:  now,
 		changed:   true,
 	}
 	m.self.Version = max(m.self.Version, 1)
-	m.digest = hashMember(m.self)
+	m.digests.toggle(m.self)
 	m.rumours.add(m.self)
 	return m
 }
@@ -114,9 +117,9 @@
 // updateSelf changes the own record and spreads it.
 func (m *Machine) updateSelf(change func(*Member)) {
 	before := m.self
-	m.digest ^= hashMember(m.self)
+	m.digests.toggle(m.self)
 	change(&m.self)
-	m.digest ^= hashMember(m.self)
+	m.digests.toggle(m.self)
 	m.rumours.add(m.self)
 	m.changed = true
 	m.config.OnChange(before, m.self)
@@ -195,8 +198,8 @@
 		m.outlive(received)
 		return true
 	}
-	for _, known := range m.members {
-		if known.Control != received.Control || known.ID == received.ID {
+	for _, known := range m.byControl[received.Control] {
+		if known.ID == received.ID {
 			continue
 		}
 		if known.Generation >= received.Generation {
@@ -217,6 +220,7 @@
 	}
 	known := &record{since: now}
 	m.members[received.ID] = known
+	m.byControl[received.Control] = append(m.byControl[received.Control], known)
 	m.set(now, known, received)
 	m.config.OnChange(Member{}, received)
 	return true
@@ -224,7 +228,7 @@
 
 func (m *Machine) replace(now time.Time, known *record, received Member) {
 	before := known.Member
-	m.digest ^= hashMember(before)
+	m.digests.toggle(before)
 	m.set(now, known, received)
 	m.config.OnChange(before, received)
 }
@@ -238,8 +242,22 @@
 		known.deadline = now.Add(m.suspicionTime())
 	}
 	known.Member = received
-	m.digest ^= hashMember(received)
-	m.rumours.add(received)
+	m.digests.toggle(received)
+	if !m.quiet {
+		m.rumours.add(received)
+	}
+	m.changed = true
+}
+
+// forget removes a member that has been dead for long.
+func (m *Machine) forget(known *record) {
+	m.digests.toggle(known.Member)
+	delete(m.members, known.ID)
+	others := slices.DeleteFunc(m.byControl[known.Control], func(other *record) bool { return other == known })
+	m.byControl[known.Control] = others
+	if len(others) == 0 {
+		delete(m.byControl, known.Control)
+	}
 	m.changed = true
 }
 
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 )
 
@@ -25,16 +26,14 @@
 
 // expire declares suspects dead and forgets members that are dead for long.
 func (m *Machine) expire(now time.Time) {
-	for id, known := range m.members {
+	for _, known := range m.members {
 		switch {
 		case known.Status == Suspect && now.After(known.deadline):
 			gone := known.Member
 			gone.Status = Dead
 			m.replace(now, known, gone)
 		case known.Status == Dead && now.Sub(known.since) > m.config.ForgetAfter:
-			m.digest ^= hashMember(known.Member)
-			delete(m.members, id)
-			m.changed = true
+			m.forget(known)
 		}
 	}
 }
@@ -96,7 +95,7 @@
 	return candidates[m.config.Random.IntN(len(candidates))]
 }
 
-// join exchanges whole lists with a few of the addresses where nobody is known.
+// join compares lists with a few of the addresses where nobody is known.
 func (m *Machine) join(sends []Send) []Send {
 	candidates, _ := m.unknownAddresses()
 	for range min(m.config.JoinFanout, len(candidates)) {
@@ -137,7 +136,7 @@
 	m.rounds = max(m.rounds-1, 0)
 	ids := m.liveIDs()
 	if len(ids) == 0 {
-		m.rumours.items = nil // nobody to tell; joining exchanges whole lists
+		m.rumours.items = nil // nobody to tell; joining compares lists
 		return sends
 	}
 	for range min(m.config.GossipFanout, len(ids)) {
@@ -155,15 +154,33 @@
 
 // message builds a message with updates.
 func (m *Machine) message(kind Kind) Message {
-	built := Message{Kind: kind, From: m.self, Digest: m.digest}
+	built := Message{Kind: kind, From: m.self, Digest: m.digests.whole()}
 	if kind == Sync {
-		built.Updates = m.Members()
+		built.Buckets = slices.Clone(m.digests[:]) // messages outlive the present state
 	} else {
 		built.Updates = m.rumours.take(m.config.MaximumUpdates, spreadRounds(m.size()))
 	}
 	return built
 }
 
+// compare answers a Sync with the parts of the list that the sender has otherwise.
+func (m *Machine) compare(asked Message) Message {
+	reply := m.message(Sync)
+	reply.Updates = m.membersIn(m.digests.differing(asked.Buckets))
+	return reply
+}
+
+// complete answers the answer to a Sync with the parts that its sender still has
+// otherwise, now that what it sent is known here.
+func (m *Machine) complete(to string, reply Message) []Send {
+	missing := m.membersIn(m.digests.differing(reply.Buckets))
+	if len(missing) == 0 {
+		return nil
+	}
+	push := Message{Kind: Gossip, From: m.self, Digest: m.digests.whole(), Updates: missing}
+	return []Send{{To: to, Message: push}}
+}
+
 // PingMessage returns a message for a probe on behalf of another process.
 func (m *Machine) PingMessage() Message { return m.message(Ping) }
 
@@ -172,7 +189,7 @@
 func (m *Machine) Receive(now time.Time, message Message) Message {
 	m.learn(now, message)
 	if message.Kind == Sync {
-		return m.message(Sync)
+		return m.compare(message)
 	}
 	reply := m.message(message.Kind)
 	// A sender that is suspected or believed dead here is told so, and can
@@ -203,7 +220,10 @@
 	if sent.probe != nil {
 		m.probeAnswered(now, sent, reply)
 	}
-	if reply.Digest != m.digest && sent.Message.Kind == Ping && now.Sub(m.lastSync) >= m.config.SyncInterval {
+	if sent.Message.Kind == Sync {
+		return m.complete(sent.To, reply)
+	}
+	if reply.Digest != m.digests.whole() && sent.Message.Kind == Ping && now.Sub(m.lastSync) >= m.config.SyncInterval {
 		m.lastSync = now
 		return []Send{m.send(sent.To, Sync, nil)}
 	}
@@ -222,6 +242,8 @@
 // learn merges a message.
 func (m *Machine) learn(now time.Time, message Message) {
 	m.apply(now, message.From)
+	m.quiet = len(message.Updates) > m.config.MaximumUpdates
+	defer func() { m.quiet = false }()
 	for _, update := range message.Updates {
 		m.apply(now, update)
 	}
--- a/membership/rumours.go
+++ b/membership/rumours.go
@@ -51,8 +51,12 @@
 }
 
 // hashMember is the share of one record in the digest of a list. Who suspects
-// a member does not count, since it differs between processes.
+// a member does not count, since it differs between processes, nor do dead members,
+// which some processes have forgotten or never knew.
 func hashMember(member Member) uint64 {
+	if member.Status == Dead {
+		return 0
+	}
 	var buffer [128]byte
 	text := append(buffer[:0], member.ID...)
 	text = append(text, ' ')
--- a/membership/types.go
+++ b/membership/types.go
@@ -56,7 +56,7 @@
 	Ping        Kind = iota // are you there
 	PingThrough             // is the target there, ask it for me
 	Gossip                  // updates only
-	Sync                    // the whole list, in both directions
+	Sync                    // compare lists, and exchange the parts that differ
 )
 
 // Message is what processes send to each other and answer with.
@@ -65,7 +65,10 @@
 	From    Member   `json:"from"`
 	Target  string   `json:"target,omitempty"` // PingThrough: control address to probe
 	Updates []Member `json:"updates,omitempty"`
-	Digest  uint64   `json:"digest"`       // of the sender's whole list
+	Digest  uint64   `json:"digest"` // of the sender's whole list
+	// Buckets are the digests of the parts of the sender's list, on Sync and its
+	// answer. A Sync without them is answered with the whole list.
+	Buckets []uint64 `json:"buckets,omitempty"`
 	OK      bool     `json:"ok,omitempty"` // answer to PingThrough
 }
 
@@ -108,17 +111,20 @@
 	// Default 3.
 	GossipFanout int
 
-	// MaximumUpdates bounds the updates on one message, except Sync. Default 16.
+	// MaximumUpdates bounds the updates on one message, except those of Sync. News
+	// that comes with more others is not passed on by gossip, since whoever lacks
+	// it finds out by comparing lists. Default 16.
 	MaximumUpdates int
 
-	// SyncInterval is the least time between two exchanges of whole lists.
-	// Default 30 probe intervals.
+	// SyncInterval is the least time between two comparisons of lists with members
+	// whose digest differs. Shorter spreads many changes sooner, longer sends
+	// fewer bytes while members come and go. Default the probe interval.
 	SyncInterval time.Duration
 
 	// ForgetAfter is how long dead members are remembered and probed. Default 1h.
 	ForgetAfter time.Duration
 
-	// JoinTime is how long after its start a process exchanges whole lists with
+	// JoinTime is how long after its start a process compares lists with
 	// addresses that it was given and knows nobody at, in each GossipInterval.
 	// Longer finds more of a mesh that starts slowly, shorter sends fewer
 	// messages to addresses where nobody is. Default 5s.
@@ -159,7 +165,7 @@
 		c.MaximumUpdates = 16
 	}
 	if c.SyncInterval == 0 {
-		c.SyncInterval = 30 * c.ProbeInterval
+		c.SyncInterval = c.ProbeInterval
 	}
 	if c.JoinTime == 0 {
 		c.JoinTime = 5 * time.Second
