explain: a call that was given up is no cause

Change: the cause is looked for below a request only where a call ended for a reason of its own. Test first: internal/explain TestCallsThatWereGivenUpAreNoCause.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -93,6 +93,22 @@
 	is.Equal(revisions, []uint64{5}) // the last one
 }
 
+// TestCallsThatWereGivenUpAreNoCause: the back end crashed, and its node gave up the
+// call that it had made.
+func TestCallsThatWereGivenUpAreNoCause(t *testing.T) {
+	is := is.New(t)
+	log := `
+{"@message":"request-failed","event":410,"direction":"inbound","request":"a.1","code":3004}
+{"@message":"request-failed","event":410,"direction":"outbound","request":"a.1","parent":"a","code":3004}
+{"@message":"request-failed","event":410,"direction":"inbound","request":"a","code":3002}
+{"@message":"request-failed","event":410,"direction":"outbound","request":"a","code":3002}
+`
+	story, err := Tell(readAll(t, log), "a")
+	is.NoErr(err)
+	is.Equal(story.Cause.Code, result.ConnectionLost)
+	is.Equal(len(story.Steps), 4)
+}
+
 func TestRequestsWithoutNamesOfTheirOwn(t *testing.T) {
 	is := is.New(t)
 	story, err := Tell(readAll(t, entryLog, nodeLog, deepLog), "u1")
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -112,11 +112,17 @@
 
 func isEnd(record Record) bool { return !isInbound(record) && !isRepeat(record) }
 
+// decidedItself reports whether a line ends a call for a reason of its own. A call
+// that ended since whoever had made it went away shows an effect.
+func decidedItself(record Record) bool {
+	return isEnd(record) && record.Code != result.CallerCancelled && record.Code != result.CallerGone
+}
+
 // cause follows the calls of a request down to the first that did not end well.
 func (b *book) cause(request string, seen map[string]bool) Record {
 	seen[request] = true
 	for _, child := range b.children[request] {
-		if !seen[child] && slices.ContainsFunc(b.byRequest[child], isEnd) {
+		if !seen[child] && slices.ContainsFunc(b.byRequest[child], decidedItself) {
 			return b.cause(child, seen)
 		}
 	}
