Three candidates and one of the own zone are compared

Cause: with two candidates of which one was of the own zone, the only node with room got half of the calls from a zone, while the two others refused (the test shows it). Change: the cheapest of three random nodes and one of the own zone. Test first: balance TestTheOnlyNodeWithRoomIsFound.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,8 +5,8 @@
 // the admission level that came back with answers. Health and load endpoints
 // are not asked, since they lag and mislead.
 //
-// Two random candidates are compared and the cheaper one is taken ("the power
-// of two choices"). The cost of a node is its smoothed latency times its calls
+// A few random candidates and one of the own zone are compared and the cheapest is
+// taken (after "the power of two choices"). The cost of a node is its smoothed latency times its calls
 // in flight, raised for another zone or region, for a node that has just
 // started, and for one that would refuse the call's priority. A node that fails
 // several times in a row is ejected for a while and then gets one trial call
@@ -93,10 +93,7 @@
 	if len(candidates) == 0 {
 		return Target{}, false
 	}
-	chosen := candidates[b.config.Random(len(candidates))]
-	if other := b.rival(candidates, chosen); other != nil && b.cost(now, other) < b.cost(now, chosen) {
-		chosen = other
-	}
+	chosen := b.cheapest(now, candidates)
 	chosen.inFlight++
 	if chosen.ejections > 0 {
 		chosen.onTrial = true
@@ -104,27 +101,46 @@
 	return chosen.target, true
 }
 
-// rival returns the candidate that a chosen one is compared with: another one of
-// the own zone when there is one, else any other. Nil when there is no other.
-func (b *Balancer) rival(candidates []*state, chosen *state) *state {
-	var own, others []*state
+// sampleSize is the number of random candidates that are compared. Two would leave
+// the best of three nodes a third of the calls that should go to it; many would
+// send the calls of all processes to the same node at once.
+const sampleSize = 3
+
+// cheapest returns the candidate of the lowest cost among a few random ones and one
+// of the own zone.
+func (b *Balancer) cheapest(now time.Time, candidates []*state) *state {
+	count := min(sampleSize, len(candidates))
+	for i := range count {
+		other := i + b.config.Random(len(candidates)-i)
+		candidates[i], candidates[other] = candidates[other], candidates[i]
+	}
+	best, lowest := candidates[0], b.cost(now, candidates[0])
+	consider := func(candidate *state) {
+		if cost := b.cost(now, candidate); cost < lowest {
+			best, lowest = candidate, cost
+		}
+	}
+	for _, candidate := range candidates[1:count] {
+		consider(candidate)
+	}
+	if near := b.near(candidates[count:]); near != nil {
+		consider(near)
+	}
+	return best
+}
+
+// near returns a random candidate of the own zone, nil when there is none.
+func (b *Balancer) near(candidates []*state) *state {
+	own := make([]*state, 0, len(candidates))
 	for _, candidate := range candidates {
-		switch {
-		case candidate == chosen:
-		case candidate.target.Zone == b.config.Zone && candidate.target.Region == b.config.Region:
+		if candidate.target.Zone == b.config.Zone && candidate.target.Region == b.config.Region {
 			own = append(own, candidate)
-		default:
-			others = append(others, candidate)
 		}
 	}
-	switch {
-	case len(own) > 0:
-		return own[b.config.Random(len(own))]
-	case len(others) > 0:
-		return others[b.config.Random(len(others))]
-	default:
+	if len(own) == 0 {
 		return nil
 	}
+	return own[b.config.Random(len(own))]
 }
 
 // candidates returns the best group of nodes that is not empty: those that
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -139,6 +139,31 @@
 	is.Equal(sharesOf(b, epoch.Add(time.Minute), 0, 1000)["near"], 1000)
 }
 
+// TestTheOnlyNodeWithRoomIsFound: of three nodes the one that is far is the only one
+// that answers soon. With two choices, one of them of the own zone, it got half of
+// the calls while the others refused.
+func TestTheOnlyNodeWithRoomIsFound(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	b.Update(epoch, []Target{
+		{ID: "near", Region: "r", Zone: "z"}, {ID: "far", Region: "r", Zone: "y"}, {ID: "farther", Region: "r", Zone: "x"},
+	})
+	now := epoch.Add(time.Minute)
+	counts := map[string]int{}
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		target, _ := b.Pick(now, "path", 0, nil)
+		counts[target.ID]++
+		latency := 300 * time.Millisecond
+		if target.ID == "farther" {
+			latency = 30 * time.Millisecond
+		}
+		b.Done(now, target.ID, latency, Answered)
+	}
+	is.True(counts["farther"] > 900)
+	is.True(counts["near"] > 0) // tried now and then
+}
+
 func TestColdNodeComesIntoItsShareSlowly(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer("a", "b")
