A node that is leaving is the last resort

Change: the balancer knows leaving nodes and picks them when nothing else is left. They refuse by themselves once they, or their back ends, have closed. Test first: balance TestALeavingNodeIsTheLastResort.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -144,14 +144,19 @@
 }
 
 // candidates returns the best group of nodes that is not empty: those that
-// would admit the priority, then those that are well, then all.
+// would admit the priority, then those that are well, then those that stay, then
+// all.
 func (b *Balancer) candidates(now time.Time, path string, priority int, exclude []string) []*state {
-	admitting, well, all := []*state{}, []*state{}, []*state{}
+	var admitting, well, staying, all []*state
 	for _, candidate := range b.list {
 		if excluded(candidate.target.ID, exclude) {
 			continue
 		}
 		all = append(all, candidate)
+		if candidate.target.Leaving {
+			continue
+		}
+		staying = append(staying, candidate)
 		if candidate.target.Suspect || candidate.ejected(now) {
 			continue
 		}
@@ -160,14 +165,12 @@
 			admitting = append(admitting, candidate)
 		}
 	}
-	switch {
-	case len(admitting) > 0:
-		return admitting
-	case len(well) > 0:
-		return well
-	default:
-		return all
+	for _, group := range [][]*state{admitting, well, staying} {
+		if len(group) > 0 {
+			return group
+		}
 	}
+	return all
 }
 
 func excluded(id string, exclude []string) bool {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -164,6 +164,21 @@
 	is.True(counts["near"] > 0) // tried now and then
 }
 
+// TestALeavingNodeIsTheLastResort: it still takes requests for a moment, which is
+// better than none when the others are gone.
+func TestALeavingNodeIsTheLastResort(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	staying, leaving := Target{ID: "staying"}, Target{ID: "leaving", Leaving: true}
+	b.Update(epoch, []Target{staying, leaving})
+	is.Equal(sharesOf(b, epoch, 0, 100)["staying"], 100)
+	staying.Suspect = true
+	b.Update(epoch, []Target{staying, leaving})
+	is.Equal(sharesOf(b, epoch, 0, 100)["staying"], 100)
+	b.Update(epoch, []Target{leaving})
+	is.Equal(sharesOf(b, epoch, 0, 100)["leaving"], 100)
+}
+
 func TestColdNodeComesIntoItsShareSlowly(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer("a", "b")
--- a/balance/config.go
+++ b/balance/config.go
@@ -11,7 +11,8 @@
 	Address string
 	Region  string
 	Zone    string
-	Suspect bool      // believed to be in trouble; taken only when nothing else is left
+	Suspect bool      // believed to be in trouble; taken only when nothing better is left
+	Leaving bool      // takes requests for a moment only; taken when nothing else is left
 	Since   time.Time // when this process first saw it
 }
 
--- a/balance/level.go
+++ b/balance/level.go
@@ -43,7 +43,7 @@
 	defer b.mutex.Unlock()
 	sum, count := 0, 0
 	for _, candidate := range b.list {
-		if candidate.target.Suspect || candidate.ejected(now) {
+		if candidate.target.Leaving || candidate.target.Suspect || candidate.ejected(now) {
 			continue
 		}
 		sum += b.levelOf(now, candidate, path)
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -49,8 +49,7 @@
 		if member.Service == "" || member.Traffic == "" {
 			continue
 		}
-		usable := member.Status != membership.Dead && !member.Leaving && !member.Down
-		if !usable {
+		if member.Status == membership.Dead || member.Down {
 			continue
 		}
 		targets[member.Service] = append(targets[member.Service], balance.Target{
@@ -59,6 +58,7 @@
 			Region:  member.Region,
 			Zone:    member.Zone,
 			Suspect: member.Status == membership.Suspect,
+			Leaving: member.Leaving,
 		})
 	}
 	r.mutex.Lock()
