explain: the reason is that of the call itself

Change: of the lines of the call that decided, one that tells a reason of its own comes first. Test first: internal/explain TestTheReasonIsThatOfTheCallItself.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -109,6 +109,19 @@
 	is.Equal(len(story.Steps), 4)
 }
 
+// TestTheReasonIsThatOfTheCallItself: the node beside the back end saw only that its
+// caller went away; the caller knows why.
+func TestTheReasonIsThatOfTheCallItself(t *testing.T) {
+	is := is.New(t)
+	log := `
+{"@message":"request-failed","event":410,"direction":"inbound","request":"a","code":3004}
+{"@message":"request-failed","event":410,"direction":"outbound","request":"a","code":3001}
+`
+	story, err := Tell(readAll(t, log), "a")
+	is.NoErr(err)
+	is.Equal(story.Cause.Code, result.DeadlineExceeded)
+}
+
 func TestRequestsWithoutNamesOfTheirOwn(t *testing.T) {
 	is := is.New(t)
 	story, err := Tell(readAll(t, entryLog, nodeLog, deepLog), "u1")
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -112,12 +112,14 @@
 
 func isEnd(record Record) bool { return !isInbound(record) && !isRepeat(record) }
 
-// decidedItself reports whether a line ends a call for a reason of its own. A call
-// that ended since whoever had made it went away shows an effect.
-func decidedItself(record Record) bool {
-	return isEnd(record) && record.Code != result.CallerCancelled && record.Code != result.CallerGone
+// ownReason reports whether a line tells a reason of its own. A call that ended
+// since whoever had made it went away shows an effect.
+func ownReason(record Record) bool {
+	return record.Code != result.CallerCancelled && record.Code != result.CallerGone
 }
 
+func decidedItself(record Record) bool { return isEnd(record) && ownReason(record) }
+
 // cause follows the calls of a request down to the first that did not end well.
 func (b *book) cause(request string, seen map[string]bool) Record {
 	seen[request] = true
@@ -127,8 +129,13 @@
 		}
 	}
 	own := b.byRequest[request]
-	if told := slices.IndexFunc(own, isInbound); told >= 0 {
-		return own[told]
+	for _, fits := range []func(Record) bool{
+		func(record Record) bool { return isInbound(record) && ownReason(record) },
+		ownReason,
+	} {
+		if found := slices.IndexFunc(own, fits); found >= 0 {
+			return own[found]
+		}
 	}
 	return own[0]
 }
