No common retry is spent on nothing; attempts of a call are bounded by its route

A call deep down was bounded by what its user request had been lent, not by its own route. Change: the user request's budget is asked first and gets its retry back when the common one refuses; attempts that may have arrived are counted for each call; under a shared budget, silence ends no attempt. Tests first: plugin/retry TestTheCommonBudgetIsNotSpentOnNothing, TestAttemptsOfACallAreBoundedByItsRoute; plugin/routing TestSilenceEndsNoAttemptUnderASharedBudget.

--- a/plugin/retry/limiter.go
+++ b/plugin/retry/limiter.go
@@ -101,18 +101,30 @@
 	if seen == notRun && result.From(err).Code != result.BackendRefused {
 		return true
 	}
-	now := time.Now()
-	processes := max(len(*l.process.Members.Load()), leastProcesses)
-	l.mutex.Lock()
-	allowed := l.budget(call).Spend(now, processes)
-	l.mutex.Unlock()
-	if !allowed || !call.Budget.Spend() {
+	call.Arrivals++
+	if most := call.Policy.MaximumAttempts; most > 0 && call.Arrivals >= most {
+		return false
+	}
+	if !call.Budget.Spend() {
+		return false
+	}
+	if !l.spend(call) {
+		call.Budget.Repay(1, 1)
 		return false
 	}
 	call.Repeat = true
 	return true
 }
 
+// spend takes one repeated attempt from the budget of the call's service.
+func (l *sharedLimiter) spend(call *kernel.Call) bool {
+	now := time.Now()
+	processes := max(len(*l.process.Members.Load()), leastProcesses)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.budget(call).Spend(now, processes)
+}
+
 // budget returns the budget of the call's service. The mutex is held.
 func (l *sharedLimiter) budget(call *kernel.Call) *retrybudget.Shared {
 	budget, exists := l.budgets[call.Service]
--- a/plugin/retry/limiter_test.go
+++ b/plugin/retry/limiter_test.go
@@ -76,6 +76,38 @@
 	}
 }
 
+// TestAttemptsOfACallAreBoundedByItsRoute whatever budget is left: the budget is
+// that of the whole user request, the attempts are those of one call.
+func TestAttemptsOfACallAreBoundedByItsRoute(t *testing.T) {
+	is := is.New(t)
+	l := newLimiter(sharedProcess())
+	call := &kernel.Call{Service: "s", Budget: retrybudget.Open(8), Policy: policy.Effective{MaximumAttempts: 2}}
+	is.True(l.repeat(call, notRun, result.New(result.Overloaded, "test"), 1)) // it did not arrive
+	is.True(l.repeat(call, unclear, nil, 1))
+	is.True(!l.repeat(call, unclear, nil, 2))
+	is.Equal(call.Budget.Left(), 7)
+}
+
+// TestTheCommonBudgetIsNotSpentOnNothing: a call whose user request has no retries
+// left takes none from the others, and one that the others leave none keeps its own.
+func TestTheCommonBudgetIsNotSpentOnNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLimiter(sharedProcess())
+	for range 100 {
+		is.True(!l.repeat(&kernel.Call{Service: "s", Budget: retrybudget.Open(0)}, unclear, nil, 1))
+	}
+	spent := 0
+	for range 100 {
+		call := &kernel.Call{Service: "s", Budget: retrybudget.Open(1)}
+		if l.repeat(call, unclear, nil, 1) {
+			spent++
+		} else {
+			is.Equal(call.Budget.Left(), 1)
+		}
+	}
+	is.Equal(spent, 3) // 55 for 16 processes
+}
+
 // TestCallsOfRepeatedRunsCount: what a repeated run calls again is paid by the
 // same budget, without being asked for.
 func TestCallsOfRepeatedRunsCount(t *testing.T) {
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -23,9 +23,9 @@
 		call.Execution.BeginChild(started)
 	}
 	ctx, cancel := context.WithCancelCause(call.Context)
-	bounded := r.boundAttempt(call, balancer, target, cancel)
+	release := r.boundAttempt(call, balancer, target, cancel)
 	response, err := r.transmitter.Send(ctx, call, target.Address, header)
-	bounded.Stop() // the answer itself may take as long as the deadline allows
+	release() // the answer itself may take as long as the deadline allows
 	finish := func(outcome balance.Outcome) {
 		cancel(nil)
 		now := time.Now()
@@ -63,17 +63,23 @@
 // boundAttempt ends one attempt of a call that can be sent again when its answer
 // does not begin in time, so that a node that hangs leaves time for another. A
 // call that may not be repeated goes on at its node; the next attempt finds its
-// claim and waits for its answer.
-func (r *router) boundAttempt(call *kernel.Call, balancer *balance.Balancer, target balance.Target, cancel context.CancelCauseFunc) *time.Timer {
-	limit := time.Until(call.Deadline)
-	if call.Body.Replayable() && call.Budget.Left() > 0 && balancer.Size() > 1 {
-		least := minimumAttemptTime
-		if !call.Policy.Repeatable {
-			least = claimedAttemptTime
-		}
-		limit = min(limit, max(attemptLatencies*balancer.Latency(target.ID), least))
+// claim and waits for its answer. The bound holds until release is called.
+//
+// Where all processes share a retry budget, there may be none left for the next
+// attempt, and what the back end has worked would be lost: silence is no reason to
+// end an attempt there. Connections that are cut end by themselves.
+func (r *router) boundAttempt(call *kernel.Call, balancer *balance.Balancer, target balance.Target, cancel context.CancelCauseFunc) (release func()) {
+	sharedBudget := r.process.Settings.RetryBudget.Window > 0
+	if sharedBudget || !call.Body.Replayable() || call.Budget.Left() == 0 || balancer.Size() < 2 {
+		return func() {} // the deadline bounds it
+	}
+	least := minimumAttemptTime
+	if !call.Policy.Repeatable {
+		least = claimedAttemptTime
 	}
-	return time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
+	limit := min(time.Until(call.Deadline), max(attemptLatencies*balancer.Latency(target.ID), least))
+	timer := time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
+	return func() { timer.Stop() }
 }
 
 // outcomeOf decides whether a failed attempt speaks against the node, be it seen
--- a/plugin/routing/routing_test.go
+++ b/plugin/routing/routing_test.go
@@ -18,6 +18,7 @@
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/retrybudget"
+	"github.com/loomcleat/loomcleat/settings"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -40,6 +41,29 @@
 	is.Equal(balancer.Size(), 1)
 }
 
+// TestSilenceEndsNoAttemptUnderASharedBudget: the back end may be at work, and there
+// may be no retry left.
+func TestSilenceEndsNoAttemptUnderASharedBudget(t *testing.T) {
+	is := is.New(t)
+	addresses := []string{}
+	for range 2 {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer silent.Close()
+		addresses = append(addresses, silent.Addr().String())
+	}
+	r, _ := routerTo(addresses...)
+	r.process.Settings.RetryBudget.Window = settings.Duration(10 * time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), minimumAttemptTime+200*time.Millisecond)
+	defer cancel()
+	call := newCall(ctx)
+	call.Budget = retrybudget.Open(8)
+	call.Policy.Repeatable = true
+	_, err := r.handle(call)
+	is.Equal(result.From(err).Code, result.DeadlineExceeded)
+	is.True(ctx.Err() != nil) // it lasted as long as the call had time
+}
+
 // routerTo returns a router that knows nodes of service "s" at addresses.
 func routerTo(addresses ...string) (*router, *balance.Balancer) {
 	balancer := balance.New(balance.Config{})
--- a/policy/resolve.go
+++ b/policy/resolve.go
@@ -8,17 +8,20 @@
 
 // Effective is what the tree says of one call after inheritance.
 type Effective struct {
-	Path           string        `json:"path"` // the most specific entry that matched
-	Service        string        `json:"service"`
-	Known          bool          `json:"known"` // the service has an entry in the tree
-	Class          Class         `json:"class"`
-	Repeatable     bool          `json:"repeatable"`
-	RetryBudget    int           `json:"retry_budget"`
-	RetryRatio     float64       `json:"retry_ratio"`
-	Deadline       time.Duration `json:"deadline_ns"`
-	ConcurrencyMin int           `json:"concurrency_min"`
-	ConcurrencyMax int           `json:"concurrency_max"`
-	QueueTime      time.Duration `json:"queue_time_ns"`
+	Path        string `json:"path"` // the most specific entry that matched
+	Service     string `json:"service"`
+	Known       bool   `json:"known"` // the service has an entry in the tree
+	Class       Class  `json:"class"`
+	Repeatable  bool   `json:"repeatable"`
+	RetryBudget int    `json:"retry_budget"`
+	// MaximumAttempts is the number of back ends that one call may be sent to, 0
+	// when only budgets bound it. It comes from the route.
+	MaximumAttempts int           `json:"max_attempts,omitempty"`
+	RetryRatio      float64       `json:"retry_ratio"`
+	Deadline        time.Duration `json:"deadline_ns"`
+	ConcurrencyMin  int           `json:"concurrency_min"`
+	ConcurrencyMax  int           `json:"concurrency_max"`
+	QueueTime       time.Duration `json:"queue_time_ns"`
 	// TargetLatency is the time within which an answer has its full worth. It
 	// comes from the route; 0 when none is known.
 	TargetLatency time.Duration `json:"target_latency_ns,omitempty"`
--- a/policy/route.go
+++ b/policy/route.go
@@ -76,6 +76,7 @@
 	settings.Class = r.Class
 	settings.Repeatable = r.Repeatable
 	settings.RetryBudget = min(r.MaximumAttempts-1, MaximumRetryBudget)
+	settings.MaximumAttempts = r.MaximumAttempts
 	if r.Timeout > 0 {
 		settings.Deadline = time.Duration(r.Timeout)
 	}
