--- a/plugin/configsync/watch_test.go
+++ b/plugin/configsync/watch_test.go
@@ -55,17 +55,30 @@
 	return nil, false, result.New(result.StoreUnavailable, "read only")
 }
 
+func gatewaySettings() settings.Settings {
+	s := settings.Default(settings.RoleGateway)
+	s.Listen, s.Control, s.Claims = "127.0.0.1:0", "127.0.0.1:0", false
+	return s
+}
+
+// newProcess returns a process that has not been started.
+func newProcess(t *testing.T, s settings.Settings, documents store.Store) *kernel.Process {
+	t.Helper()
+	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: documents})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(process.Kill)
+	return process
+}
+
 // TestAnEntryIsReadOnce: a document that the store shows again and again is decoded
 // once.
 func TestAnEntryIsReadOnce(t *testing.T) {
 	is := is.New(t)
 	steady := &silentStore{revision: 5}
-	s := settings.Default(settings.RoleGateway)
-	s.Listen, s.Control, s.Claims = "127.0.0.1:0", "127.0.0.1:0", false
-	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: steady})
-	is.NoErr(err)
+	process := newProcess(t, gatewaySettings(), steady)
 	go func() { _ = process.Start(t.Context()) }()
-	t.Cleanup(process.Kill)
 	synchronizer, ok := process.Documents.(*synchronizer)
 	is.True(ok)
 	decoded := 0
@@ -91,11 +104,9 @@
 // peers say so leaves the store to those whose turn it is.
 func TestAbsenceIsVouchedFor(t *testing.T) {
 	is := is.New(t)
-	s := settings.Default(settings.RoleGateway)
-	s.Listen, s.Control, s.Claims, s.PolicyRequired, s.StoreWatches = "127.0.0.1:0", "127.0.0.1:0", false, true, 0
-	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: &silentStore{}})
-	is.NoErr(err)
-	t.Cleanup(process.Kill)
+	s := gatewaySettings()
+	s.PolicyRequired, s.StoreWatches = true, 0
+	process := newProcess(t, s, &silentStore{})
 	synchronizer, ok := process.Documents.(*synchronizer)
 	is.True(ok)
 	w := &watcher{synchronizer: synchronizer, document: synchronizer.documents[wire.DocumentPolicy]}
@@ -109,14 +120,9 @@
 // TestWaitsThatAreNeverAnswered: a change is found although no wait is ever
 // answered, also after the store was away.
 func TestWaitsThatAreNeverAnswered(t *testing.T) {
-	is := is.New(t)
 	down := &silentStore{revision: 5}
-	s := settings.Default(settings.RoleGateway)
-	s.Listen, s.Control, s.Claims = "127.0.0.1:0", "127.0.0.1:0", false
-	process, err := kernel.New(kernel.Options{Settings: s, Log: event.Discard(), Store: down})
-	is.NoErr(err)
+	process := newProcess(t, gatewaySettings(), down)
 	go func() { _ = process.Start(t.Context()) }()
-	t.Cleanup(process.Kill)
 
 	await := func(revision uint64) {
 		for process.Documents.Revisions().Policy != revision {
