Last reading: one test of the own zone, one pause, members found by address

Cause: the last reading found the test of the own zone written twice in the balancer, the same pause in two plug-ins, and one search through all members that the new index by control address makes needless. Change: Balancer.inOwnZone, kernel.Pause, the index in membership's successors. Behaviour stays. No test changed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -129,11 +129,17 @@
 	return best
 }
 
+// inOwnZone reports whether a node is in the zone of this process. Zones of different
+// regions may have the same name.
+func (b *Balancer) inOwnZone(target Target) bool {
+	return target.Zone == b.config.Zone && target.Region == b.config.Region
+}
+
 // near returns a random candidate of the own zone, nil when there is none.
 func (b *Balancer) near(candidates []*state) *state {
 	own := make([]*state, 0, len(candidates))
 	for _, candidate := range candidates {
-		if candidate.target.Zone == b.config.Zone && candidate.target.Region == b.config.Region {
+		if b.inOwnZone(candidate.target) {
 			own = append(own, candidate)
 		}
 	}
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -21,7 +21,7 @@
 		latency += b.config.ZoneCost.Seconds()
 	}
 	cost := latency * float64(s.inFlight+1)
-	if s.target.Zone != b.config.Zone || s.target.Region != b.config.Region {
+	if !b.inOwnZone(s.target) {
 		cost *= awayFactor
 	}
 	if age := now.Sub(s.target.Since); age < b.config.WarmUp {
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -205,8 +205,8 @@
 // address of a sender that is not known, so that it can contradict.
 func (m *Machine) successors(sender Member) []Member {
 	found := []Member{}
-	for _, known := range m.members {
-		if known.Control == sender.Control && known.Status != Dead {
+	for _, known := range m.byControl[sender.Control] {
+		if known.Status != Dead {
 			found = append(found, known.Member)
 		}
 	}
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -40,18 +40,18 @@
 	for ctx.Err() == nil {
 		if !w.wanted() {
 			w.position = 0
-			pause(ctx, idleWait)
+			kernel.Pause(ctx, idleWait)
 			continue
 		}
 		before := d.revision.Load()
 		if err := w.once(ctx); err != nil {
 			w.failed(ctx, err)
-			pause(ctx, backoff(w.failures))
+			kernel.Pause(ctx, backoff(w.failures))
 			continue
 		}
 		w.recovered()
 		if d.revision.Load() != before {
-			pause(ctx, gatherTime)
+			kernel.Pause(ctx, gatherTime)
 		}
 	}
 }
@@ -146,12 +146,3 @@
 	limit := min(firstBackoff<<min(failures, 6), maximumBackoff)
 	return limit/2 + rand.N(limit/2)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/plugin/once/groups.go
+++ b/plugin/once/groups.go
@@ -34,7 +34,7 @@
 		}
 		o.fetchAll(ctx, fetches)
 		if len(fetches) > 0 {
-			pause(ctx, collectInterval)
+			kernel.Pause(ctx, collectInterval)
 			continue
 		}
 		select {
@@ -192,7 +192,7 @@
 			o.handOverPlaces(ctx)
 			return
 		}
-		pause(ctx, collectInterval)
+		kernel.Pause(ctx, collectInterval)
 	}
 }
 
--- a/plugin/once/once.go
+++ b/plugin/once/once.go
@@ -170,7 +170,7 @@
 		if progress.hopeless >= claimRounds || time.Now().After(giveUp) || call.Context.Err() != nil {
 			return claimed{}, unavailable()
 		}
-		pause(call.Context, claimBackoff+rand.N(claimBackoff))
+		kernel.Pause(call.Context, claimBackoff+rand.N(claimBackoff))
 	}
 }
 
@@ -246,7 +246,7 @@
 		case state == wire.RunFinished:
 			return &claimed{answer: answer}, nil
 		}
-		pause(call.Context, claimBackoff)
+		kernel.Pause(call.Context, claimBackoff)
 	}
 	return nil, uncertain("the first run of the request has not ended")
 }
@@ -259,12 +259,3 @@
 	err := o.process.Control.Invoke(ctx, holder.Runner.Control, http.MethodPost, wire.PathOutcome, &request, &reply)
 	return reply.State, reply.Answer, err
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/plugin/once/planner.go
+++ b/plugin/once/planner.go
@@ -26,7 +26,7 @@
 
 // planGroups keeps the claim groups in shape while this process is the planner.
 func (o *once) planGroups(ctx context.Context) {
-	pause(ctx, settleTime)
+	kernel.Pause(ctx, settleTime)
 	lost := 0
 	for ctx.Err() == nil {
 		wait := idlePlanWait
@@ -43,7 +43,7 @@
 			}
 			lost = found
 		}
-		pause(ctx, wait)
+		kernel.Pause(ctx, wait)
 	}
 }
 
