Requests are written and read by the goroutine that serves them

A profile of two nodes under 200 calls/s showed a third of it in the two goroutines that net/http's transport keeps for each connection, 14% in the runtime's monitor thread, which each announced system call on a socket wakes (10 naps for each call), and 11% in the scheduler. Ruled out: separate writes of head and body (4 writes a call, the least possible), log lines, timers of the caller watch (none shows in the profile). Change: internal/exchange, a client for one exchange at a time without goroutines of its own, behind the same Transmitter; encoding stays net/http's. A request is never sent twice, by construction; what tricked the standard transport out of it is gone. Idle connections heed Keep-Alive and hold no buffers. internal/socket reads and writes sockets without announcing it, and probes no idle connection.

--- a/kernel/control.go
+++ b/kernel/control.go
@@ -9,6 +9,7 @@
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/loomcleat/loomcleat/internal/socket"
 	"github.com/loomcleat/loomcleat/result"
 )
 
@@ -32,7 +33,7 @@
 
 func newControlClient(counters *Counters, dial DialFunc) *ControlClient {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: controlDialTimeout}).DialContext
+		dial = socket.Dialer{Timeout: controlDialTimeout}.DialContext
 	}
 	return &ControlClient{
 		counters: counters,
--- a/kernel/listeners.go
+++ b/kernel/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"github.com/loomcleat/loomcleat/internal/socket"
 	"github.com/loomcleat/loomcleat/result"
 )
 
@@ -28,7 +29,7 @@
 		if !target.wanted {
 			continue
 		}
-		listener, err := net.Listen("tcp", target.address)
+		listener, err := socket.Listen(target.address)
 		if err != nil {
 			p.listeners.close()
 			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", target.address)
@@ -36,7 +37,7 @@
 		*target.into = listener
 	}
 	for _, endpoint := range p.endpoints {
-		listener, err := net.Listen("tcp", endpoint.Address)
+		listener, err := socket.Listen(endpoint.Address)
 		if err != nil {
 			p.listeners.close()
 			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", endpoint.Address)
