Few processes go to the store in a large mesh

Knowledge of the four processes that watch the store passes from process to process, and a process that heard nothing newer than 2.5 s watches for itself. At 194 members the median age is 2.6 s, so that half of them watched all the time (virtual time; 2% at 14 members). At a start each process took itself for one of the four, since it knew nobody. Ruled out: more watchers (eight leave 29% of 194 beyond the bound, in the same model). Change: the bound grows by half a second with each doubling of the mesh above 14 processes (spread.MaximumVouchedAge); a process that has looked at the store less than a second ago does not look again; nobody is one of the four in its first 1.5 s.

--- a/plugin/configsync/freshness.go
+++ b/plugin/configsync/freshness.go
@@ -32,8 +32,10 @@
 	return s.freshness.Age(time.Now())
 }
 
-func (s *synchronizer) isVouched() bool {
+// mustLook reports whether this process must look at the store itself, in a mesh
+// of the given size.
+func (s *synchronizer) mustLook(size int) bool {
 	s.freshnessLock.Lock()
 	defer s.freshnessLock.Unlock()
-	return s.freshness.IsVouched(time.Now())
+	return s.freshness.MustLook(time.Now(), size)
 }
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -67,10 +67,20 @@
 	return wanted
 }
 
+// settleTime is how long after its start a process knows too few others to tell
+// whether it is one of those that watch the store. All processes of a mesh that
+// starts at once would take themselves for one.
+const settleTime = 1500 * time.Millisecond
+
 // watches reports whether this process is one of those that watch the store, or
 // is left alone by them.
 func (s *synchronizer) watches() bool {
-	return !s.isVouched() || spread.Watches(s.process.ID, kernel.LiveIDs(*s.process.Members.Load()), s.process.Settings.StoreWatches)
+	live := kernel.LiveIDs(*s.process.Members.Load())
+	settled := time.Since(s.process.Started) >= settleTime
+	if settled && spread.Watches(s.process.ID, live, s.process.Settings.StoreWatches) {
+		return true
+	}
+	return s.mustLook(len(live))
 }
 
 func (w *watcher) failed(ctx context.Context, err error) {
--- a/spread/freshness.go
+++ b/spread/freshness.go
@@ -1,6 +1,9 @@
 package spread
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Freshness is how recently a process knew that its document was the newest
 // one: by reading the store itself, or by hearing from a peer that knew. All
@@ -40,13 +43,43 @@
 	return max(now.Sub(f.verified), 0), true
 }
 
-// maximumVouchedAge is the age of what peers vouch for from which on a process
-// goes to the store itself: a few gossip intervals.
-const maximumVouchedAge = 2500 * time.Millisecond
+// Bounds of the age of what peers vouch for. Knowledge of the few processes that
+// watch the store passes from process to process, so that its age grows by about
+// the same time with each doubling of the mesh.
+const (
+	// smallMesh is the size up to which the least bound holds.
+	smallMesh = 14
+	// smallMeshAge is that bound: a few gossip intervals.
+	smallMeshAge = 2500 * time.Millisecond
+	// agePerDoubling is what each doubling of the mesh adds to it.
+	agePerDoubling = 500 * time.Millisecond
+)
 
-// IsVouched reports whether peers vouch for the document recently enough. A
-// process that is cut off from its peers, or whose peers are all cut off from
-// the store, finds by this that it must look for itself.
-func (f *Freshness) IsVouched(now time.Time) bool {
-	return !f.vouched.IsZero() && now.Sub(f.vouched) <= maximumVouchedAge
+// MaximumVouchedAge is the age of what peers vouch for from which on a process of
+// a mesh of the given size goes to the store itself. With one that is too low for
+// the size, most processes of a large mesh go to the store all the time.
+func MaximumVouchedAge(size int) time.Duration {
+	doublings := math.Log2(max(float64(size)/smallMesh, 1))
+	return smallMeshAge + time.Duration(doublings*float64(agePerDoubling))
+}
+
+// IsVouched reports whether peers vouch for the document recently enough in a mesh
+// of the given size. A process that is cut off from its peers, or whose peers are
+// all cut off from the store, finds by this that it must look for itself.
+func (f *Freshness) IsVouched(now time.Time, size int) bool {
+	return !f.vouched.IsZero() && now.Sub(f.vouched) <= MaximumVouchedAge(size)
+}
+
+// lookAgain is the time after which a process that nobody vouches for looks at the
+// store again.
+const lookAgain = time.Second
+
+// MustLook reports whether a process of a mesh of the given size must look at the
+// store itself, although it is not one of those that watch it: nobody vouches for
+// its document, and it has not looked a moment ago, as it does at its start.
+func (f *Freshness) MustLook(now time.Time, size int) bool {
+	if f.IsVouched(now, size) {
+		return false
+	}
+	return f.verified.IsZero() || now.Sub(f.verified) >= lookAgain
 }
