Calls stay in their zone while it has room

With 71 nodes of a service a process has not called most of them for seconds, so that what it knows of them has faded and they look cheap; three random candidates and one of the own zone sent four of five calls away whatever the zone's load. Ruled out: gossip and headers as the main part (bodies are some 10 KB a request). Change: a node tells with each answer how full its back end is; a balancer keeps the smoothed load of the nodes of its own zone. Below 0.6 all calls stay there, from 0.85 on the candidates are those of before, between them a share stays. Only with three usable nodes or more in the zone. Tests: balance TestCallsStayInTheZoneWhileItHasRoom, TestAZoneWhoseNodesFailIsLeft.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,7 +6,8 @@
 // are not asked, since they lag and mislead.
 //
 // A few random candidates and one of the own zone are compared and the cheapest is
-// taken (after "the power of two choices"). The cost of a node is its smoothed latency times its calls
+// taken (after "the power of two choices"). While the nodes of the own zone have room,
+// by the load that their answers show, only they are compared. The cost of a node is its smoothed latency times its calls
 // in flight, raised for another zone or region, for a node that has just
 // started, and for one that would refuse the call's priority. A node that fails
 // several times in a row is ejected for a while and then gets one trial call
@@ -26,6 +27,7 @@
 	config Config
 	states map[string]*state
 	list   []*state
+	zone   zoneLoad
 }
 
 // state is what is known of one node.
@@ -93,7 +95,7 @@
 	if len(candidates) == 0 {
 		return Target{}, false
 	}
-	chosen := b.cheapest(now, candidates)
+	chosen := b.cheapest(now, b.staying(candidates))
 	chosen.inFlight++
 	if chosen.ejections > 0 {
 		chosen.onTrial = true
@@ -137,12 +139,7 @@
 
 // near returns a random candidate of the own zone, nil when there is none.
 func (b *Balancer) near(candidates []*state) *state {
-	own := make([]*state, 0, len(candidates))
-	for _, candidate := range candidates {
-		if b.inOwnZone(candidate.target) {
-			own = append(own, candidate)
-		}
-	}
+	own := b.ownZone(candidates)
 	if len(own) == 0 {
 		return nil
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -232,3 +232,83 @@
 	balancer.Done(now, target.ID, 3*time.Millisecond, Answered)
 	// Output: 127.0.0.1:7000 true
 }
+
+// TestCallsStayInTheZoneWhileItHasRoom although the nodes of another one are faster,
+// and leave it in parts as it fills. With few nodes in the zone the fastest counts.
+func TestCallsStayInTheZoneWhileItHasRoom(t *testing.T) {
+	later := epoch.Add(time.Minute)
+	cases := []struct {
+		name        string
+		near, away  int
+		load        float64 // shown by the nodes of the zone, 0: nothing is shown
+		least, most float64 // share of the calls that stay
+	}{
+		{"room", 4, 12, 0.3, 1, 1},
+		{"filling", 4, 12, 0.725, 0.4, 0.6},
+		{"full", 4, 12, 1, 0, 0.2},
+		{"queues", 4, 12, 9, 0, 0.2},
+		{"nothing is known", 4, 12, 0, 0, 0.2},
+		{"few nodes", 2, 6, 0.3, 0, 0.2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			source := rand.New(rand.NewPCG(1, 2))
+			b := New(Config{Region: "r", Zone: "z", Random: source.IntN})
+			targets := []Target{}
+			for i := range c.near + c.away {
+				target := Target{ID: fmt.Sprint(i), Region: "r", Zone: "z"}
+				if i >= c.near {
+					target.Zone = "other"
+				}
+				targets = append(targets, target)
+			}
+			b.Update(epoch, targets)
+			const calls = 2000
+			stayed := 0
+			for range calls {
+				target, found := b.Pick(later, "path", 0, nil)
+				is.True(found)
+				if target.Zone == "z" {
+					stayed++
+				}
+				latency := 100 * time.Millisecond
+				if target.Zone != "z" {
+					latency = 20 * time.Millisecond
+				}
+				b.Done(later, target.ID, latency, Answered)
+				if c.load > 0 {
+					b.SetLoad(target.ID, c.load)
+				}
+			}
+			share := float64(stayed) / calls
+			if share < c.least-0.01 || share > c.most {
+				t.Errorf("a share of %.2f stays", share)
+			}
+		})
+	}
+}
+
+// TestAZoneWhoseNodesFailIsLeft: those that are ejected or would refuse are no
+// choice, whatever room they had.
+func TestAZoneWhoseNodesFailIsLeft(t *testing.T) {
+	is := is.New(t)
+	later := epoch.Add(time.Minute)
+	b := New(Config{Region: "r", Zone: "z", Random: rand.New(rand.NewPCG(1, 2)).IntN})
+	targets := []Target{}
+	for i := range 8 {
+		zone := "z"
+		if i >= 4 {
+			zone = "other"
+		}
+		targets = append(targets, Target{ID: fmt.Sprint(i), Region: "r", Zone: zone, Suspect: i < 4})
+	}
+	b.Update(epoch, targets)
+	b.SetLoad("0", 0.1)
+	for range 100 {
+		target, found := b.Pick(later, "path", 0, nil)
+		is.True(found)
+		is.Equal(target.Zone, "other")
+		b.Done(later, target.ID, time.Millisecond, Answered)
+	}
+}
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -24,8 +24,10 @@
 		header.Set(wire.HeaderUnspent, strconv.Itoa(unspent))
 	}
 	level := call.Execution.Level()
-	if p.levelOf != nil {
-		level = max(level, p.levelOf(time.Now()))
+	if p.occupancy != nil {
+		own := p.occupancy(time.Now())
+		level = max(level, own.Level)
+		header.Set(wire.HeaderLoad, strconv.Itoa(int(100*own.Load)))
 	}
 	if level > 0 {
 		header.Set(wire.HeaderLevel, strconv.Itoa(level))
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -67,7 +67,7 @@
 	onDrain    []func(context.Context)
 	onMembers  []func(time.Time, []membership.Member)
 	onStatus   []func(*wire.Status)
-	levelOf    func(time.Time) int
+	occupancy  func(time.Time) Occupancy
 	context    context.Context
 	cancel     context.CancelFunc
 	stopOnce   sync.Once
@@ -177,8 +177,17 @@
 // OnStatus adds a function that fills in a part of the status of the process.
 func (p *Process) OnStatus(fill func(*wire.Status)) { p.onStatus = append(p.onStatus, fill) }
 
-// SetLevel sets the function that returns the own admission level.
-func (p *Process) SetLevel(level func(time.Time) int) { p.levelOf = level }
+// Occupancy is how busy the back end beside this process is.
+type Occupancy struct {
+	// Level is the lowest priority that is admitted now.
+	Level int
+	// Load is the number of requests that the back end works on or that wait, as a
+	// share of those that it works on at a time.
+	Load float64
+}
+
+// SetOccupancy sets the function that returns how busy the back end is.
+func (p *Process) SetOccupancy(occupancy func(time.Time) Occupancy) { p.occupancy = occupancy }
 
 // PublishMembers makes a new state of the mesh known. It is called on the
 // control loop.
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -32,7 +32,7 @@
 		controller: admission.NewController(time.Now(), admission.Config{}),
 	}
 	process.UseInbound(name, p.middleware)
-	process.SetLevel(p.currentLevel)
+	process.SetOccupancy(p.occupancy)
 	process.OnStatus(p.fillStatus)
 	p.registerMetrics(process.Metrics)
 	return nil
@@ -53,14 +53,16 @@
 	queueTime        time.Duration
 }
 
-// currentLevel returns the level and logs when overload begins or ends.
-func (p *plugin) currentLevel(now time.Time) int {
-	level := p.controller.State(now).Level
+// occupancy returns how busy the back end is and logs when overload begins or ends.
+func (p *plugin) occupancy(now time.Time) kernel.Occupancy {
+	state := p.controller.State(now)
+	level := state.Level
 	overloaded := level > 0
 	if p.overloaded.Load() != overloaded && p.overloaded.CompareAndSwap(!overloaded, overloaded) {
 		p.process.Log.Emit(event.AdmissionLevelSet, "overloaded", overloaded, "level", level)
 	}
-	return level
+	load := float64(state.InFlight+state.Waiting) / float64(max(state.Limit, 1))
+	return kernel.Occupancy{Level: level, Load: load}
 }
 
 func (p *plugin) fillStatus(status *wire.Status) {
--- a/plugin/routing/answer.go
+++ b/plugin/routing/answer.go
@@ -24,6 +24,7 @@
 		return nil, result.New(result.AnswerMismatch, "node %s answered another request", target.ID)
 	}
 	notePressure(call, header)
+	noteLoad(balancer, target, header)
 	answer := &kernel.Answer{
 		Response: response,
 		Unspent:  intHeader(header, wire.HeaderUnspent),
@@ -54,6 +55,15 @@
 	addPressure(call, pressure)
 }
 
+// noteLoad takes the load that the node has shown, if it has.
+func noteLoad(balancer *balance.Balancer, target balance.Target, header http.Header) {
+	percent, err := strconv.Atoi(header.Get(wire.HeaderLoad))
+	if err != nil {
+		return
+	}
+	balancer.SetLoad(target.ID, float64(percent)/100)
+}
+
 // timeoutPressure is the pressure of an attempt that was not answered in time:
 // whoever might have told how long it waited did not get to it.
 const timeoutPressure = 3
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -52,6 +52,9 @@
 	// HeaderPressure is the highest pressure that the request met at this node or
 	// below: time waited for a place as a multiple of what it should be.
 	HeaderPressure = "Loomcleat-Pressure"
+	// HeaderLoad is the load of the node: the requests that its back end works on or
+	// that wait, in percent of those that it works on at a time.
+	HeaderLoad = "Loomcleat-Load"
 	// HeaderLeaving is "1" when the answering node is stopping.
 	HeaderLeaving = "Loomcleat-Leaving"
 	// HeaderReplayed is "1" when the answer is the stored one of an earlier run.
