Requests behind others on a connection are served together with them

Some callers send several requests that may be repeated before they read an answer; Go's server begins with one when the one before it is answered, so that each waits for all before it. Ruled out: waiting for places (no back end was full; no request was refused). Change: the connection of a caller gives the server one request at a time and keeps what comes behind. Requests without a body that read only, behind such a one, on a route that may be repeated, are begun at once; their answers wait until the server comes to the request and are passed on in order. All others wait for their turn, and so does all behind a request whose end is not certain. A caller that closes is noticed at once behind such rows, and what was begun for it is given up.

--- /dev/null
+++ b/kernel/ahead.go
@@ -0,0 +1,220 @@
+package kernel
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// ahead is a request that is served before its turn: its caller has sent it behind
+// another one on the same connection and waits for both. Its answer is kept until
+// the server comes to the request and takes it. It is the http.ResponseWriter of the
+// request.
+//
+// Without it, Go's server begins with a request when the one before it has been
+// answered, so that the last one of a row waits for all of them.
+type ahead struct {
+	request *http.Request
+	cancel  context.CancelFunc
+
+	mutex   sync.Mutex
+	changed sync.Cond
+	header  http.Header // of the handler
+	status  int         // 0 until the head of the answer is there
+	head    http.Header // as it was then
+	body    []byte      // that has not been taken yet
+	ended   bool
+	broken  bool // the answer is not whole
+}
+
+// maximumAhead bounds the bytes of an answer that wait to be taken.
+const maximumAhead = 64 << 10
+
+func newAhead(request *http.Request, cancel context.CancelFunc) *ahead {
+	a := &ahead{request: request, cancel: cancel, header: http.Header{}}
+	a.changed.L = &a.mutex
+	// A handler that waits for room goes on when the request is given up.
+	context.AfterFunc(request.Context(), func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		a.changed.Broadcast()
+	})
+	return a
+}
+
+// Header implements http.ResponseWriter.
+func (a *ahead) Header() http.Header { return a.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *ahead) WriteHeader(status int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.begin(status)
+}
+
+// begin fixes the head of the answer. The mutex is held.
+func (a *ahead) begin(status int) {
+	if a.status != 0 || status < http.StatusOK {
+		return
+	}
+	a.status = status
+	a.head = a.header.Clone()
+	a.changed.Broadcast()
+}
+
+// Write implements http.ResponseWriter. It waits while too much is to be taken.
+func (a *ahead) Write(data []byte) (int, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.begin(http.StatusOK)
+	for len(a.body) >= maximumAhead && a.request.Context().Err() == nil {
+		a.changed.Wait()
+	}
+	if err := a.request.Context().Err(); err != nil {
+		return 0, err
+	}
+	a.body = append(a.body, data...)
+	a.changed.Broadcast()
+	return len(data), nil
+}
+
+// end ends the answer.
+func (a *ahead) end(broken bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if !broken {
+		a.begin(http.StatusOK)
+	}
+	a.ended, a.broken = true, broken
+	a.changed.Broadcast()
+}
+
+// run lets a handler answer the request.
+func (a *ahead) run(handler http.Handler) {
+	broken := true
+	defer func() {
+		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+			panic(cause)
+		}
+		a.end(broken)
+		a.cancel()
+	}()
+	handler.ServeHTTP(a, a.request)
+	broken = false
+}
+
+// is reports whether a request that the server has come to is this one.
+func (a *ahead) is(r *http.Request, idHeader string) bool {
+	return a.request.Method == r.Method && a.request.Host == r.Host && a.request.RequestURI == r.RequestURI &&
+		(idHeader == "" || a.request.Header.Get(idHeader) == r.Header.Get(idHeader))
+}
+
+// passOn passes the answer on as it comes. An answer that is not whole breaks the
+// connection, as it would have without waiting.
+func (a *ahead) passOn(w http.ResponseWriter) {
+	status, head := a.awaitHead()
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	for name, values := range head {
+		header[name] = values
+	}
+	w.WriteHeader(status)
+	controller := http.NewResponseController(w)
+	for {
+		data, last := a.take()
+		if len(data) > 0 {
+			if _, err := w.Write(data); err != nil {
+				a.cancel()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if last {
+			break
+		}
+		_ = controller.Flush()
+	}
+	a.passTrailers(header)
+}
+
+// awaitHead waits for the head of the answer. The status is 0 when there is none.
+func (a *ahead) awaitHead() (status int, head http.Header) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for a.status == 0 && !a.ended {
+		a.changed.Wait()
+	}
+	return a.status, a.head
+}
+
+// take waits for a part of the body and removes it. It reports whether it was the
+// last one.
+func (a *ahead) take() (data []byte, last bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for len(a.body) == 0 && !a.ended {
+		a.changed.Wait()
+	}
+	if a.ended && a.broken {
+		panic(http.ErrAbortHandler)
+	}
+	data, a.body = a.body, nil
+	a.changed.Broadcast()
+	return data, a.ended
+}
+
+// passTrailers sets the trailers that the handler has set after the body.
+func (a *ahead) passTrailers(header http.Header) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for name, values := range a.header {
+		if strings.HasPrefix(name, http.TrailerPrefix) {
+			header[name] = values
+		}
+	}
+}
+
+// mayRunAhead reports whether a request may be served before its turn: when its
+// route says that it may be repeated, so that a caller who never gets the answer can
+// send it again.
+func (p *Process) mayRunAhead(r *http.Request) bool {
+	if !p.Ready() || p.Leaving() {
+		return false
+	}
+	route := p.Policy.Load().Routes().Find(hostName(r.Host), r.URL.EscapedPath())
+	return route != nil && route.Repeatable
+}
+
+// startAhead begins to serve a request before its turn, nil when it must wait.
+func (p *Process) startAhead(ctx context.Context, r *http.Request) *ahead {
+	if !p.mayRunAhead(r) {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	started := newAhead(r.WithContext(ctx), cancel)
+	p.Counters.Ahead.Add(1)
+	go started.run(http.HandlerFunc(p.serveEntry))
+	return started
+}
+
+// passAhead passes on the answer to a request that was begun before its turn. It
+// reports whether there is one.
+func (p *Process) passAhead(w http.ResponseWriter, r *http.Request) bool {
+	conn := callerConnOf(r)
+	if conn == nil {
+		return false
+	}
+	begun := conn.takeAhead(r, p.Dialect.RequestID)
+	if begun == nil {
+		return false
+	}
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	if p.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	begun.passOn(w)
+	return true
+}
--- /dev/null
+++ b/kernel/ahead_test.go
@@ -0,0 +1,214 @@
+package kernel
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// aheadServer is a server whose connections serve requests ahead of their turn.
+type aheadServer struct {
+	*httptest.Server
+	mutex   sync.Mutex
+	started []string // paths, in the order in which they were begun
+}
+
+func startAheadServer(t *testing.T, handler http.HandlerFunc) *aheadServer {
+	t.Helper()
+	s := &aheadServer{}
+	recorded := func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		s.started = append(s.started, r.URL.Path)
+		s.mutex.Unlock()
+		handler(w, r)
+	}
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if begun := callerConnOf(r).takeAhead(r, "X-Id"); begun != nil {
+			begun.passOn(w)
+			return
+		}
+		recorded(w, r)
+	}))
+	s.Config.ConnContext = withConnection
+	s.Listener = callerListener{Listener: s.Listener, start: func(ctx context.Context, r *http.Request) *ahead {
+		ctx, cancel := context.WithCancel(ctx)
+		begun := newAhead(r.WithContext(ctx), cancel)
+		go begun.run(http.HandlerFunc(recorded))
+		return begun
+	}}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *aheadServer) paths() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]string{}, s.started...)
+}
+
+// pipeliner is a caller that sends several requests before it reads an answer.
+type pipeliner struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialPipeliner(t *testing.T, s *aheadServer) *pipeliner {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return &pipeliner{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func getText(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func (p *pipeliner) answer() (string, error) {
+	response, err := http.ReadResponse(p.reader, nil)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return fmt.Sprintf("%d %s", response.StatusCode, body), err
+}
+
+// TestARowOfRequestsIsServedTogether: none ends before all have begun, and the
+// answers come in the order of the requests.
+func TestARowOfRequestsIsServedTogether(t *testing.T) {
+	for name, pieces := range map[string][]string{
+		"in one piece":       {getText("/1") + getText("/2") + getText("/3")},
+		"one after another":  {getText("/1"), getText("/2"), getText("/3")},
+		"cut in their midst": {getText("/1")[:9], getText("/1")[9:] + getText("/2")[:20], getText("/2")[20:] + getText("/3")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var all sync.WaitGroup
+			all.Add(3)
+			s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
+				all.Done()
+				all.Wait()
+				w.WriteHeader(http.StatusAccepted)
+				_, _ = io.WriteString(w, r.URL.Path)
+			})
+			caller := dialPipeliner(t, s)
+			for _, piece := range pieces {
+				_, err := io.WriteString(caller, piece)
+				is.NoErr(err)
+				time.Sleep(10 * time.Millisecond) // so that the pieces arrive apart; the verdict does not depend on it
+			}
+			for _, path := range []string{"/1", "/2", "/3"} {
+				got, err := caller.answer()
+				is.NoErr(err)
+				is.Equal(got, "202 "+path)
+			}
+			is.Equal(len(s.paths()), 3) // each has run once
+		})
+	}
+}
+
+// TestARowThatIsLongerThanTheQueue, with answers that are longer than what is kept
+// of them, is answered whole and in order.
+func TestARowThatIsLongerThanTheQueue(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("0123456789", maximumAhead/5)
+	s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+		_, _ = io.WriteString(w, long)
+	})
+	caller := dialPipeliner(t, s)
+	const count = 3 * maximumQueue
+	go func() {
+		for i := range count {
+			_, _ = io.WriteString(caller, getText(fmt.Sprintf("/%d", i)))
+		}
+	}()
+	for i := range count {
+		got, err := caller.answer()
+		is.NoErr(err)
+		is.Equal(got, fmt.Sprintf("200 /%d%s", i, long))
+	}
+	is.Equal(len(s.paths()), count)
+}
+
+// TestWhatWaitsForItsTurn: a request that may change something, and all behind it.
+func TestWhatWaitsForItsTurn(t *testing.T) {
+	is := is.New(t)
+	first := make(chan struct{})
+	s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-first
+		}
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.URL.Path+string(body))
+	})
+	caller := dialPipeliner(t, s)
+	smuggled := getText("/smuggled")
+	post := fmt.Sprintf("POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(smuggled), smuggled)
+	_, err := io.WriteString(caller, getText("/1")+getText("/2")+post+getText("/4"))
+	is.NoErr(err)
+	for len(s.paths()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(first)
+	for _, want := range []string{"200 /1", "200 /2", "200 /3" + smuggled, "200 /4"} {
+		got, err := caller.answer()
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+	started := s.paths()
+	is.Equal(len(started), 4)
+	is.Equal(started[2:], []string{"/3", "/4"}) // after the others, and in order
+}
+
+// TestACallerThatLeavesEndsTheWholeRow.
+func TestACallerThatLeavesEndsTheWholeRow(t *testing.T) {
+	is := is.New(t)
+	var begun, ended sync.WaitGroup
+	begun.Add(2)
+	ended.Add(2)
+	s := startAheadServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		begun.Done()
+		<-r.Context().Done()
+		ended.Done()
+	})
+	caller := dialPipeliner(t, s)
+	_, err := io.WriteString(caller, getText("/1")+getText("/2"))
+	is.NoErr(err)
+	begun.Wait()
+	is.NoErr(caller.Close())
+	ended.Wait()
+}
+
+// TestAnAnswerThatBreaksOffIsNotWhole: what was served ahead ends as it would have in
+// its turn.
+func TestAnAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		if r.URL.Path == "/2" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	caller := dialPipeliner(t, s)
+	_, err := io.WriteString(caller, getText("/1")+getText("/2")+getText("/3"))
+	is.NoErr(err)
+	got, err := caller.answer()
+	is.NoErr(err)
+	is.Equal(got, "200 half")
+	_, err = caller.answer()
+	is.True(err != nil)
+}
--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -13,6 +13,7 @@
 // Counters are the counts that the kernel keeps.
 type Counters struct {
 	Retries         atomic.Int64
+	Ahead           atomic.Int64
 	ControlSent     atomic.Int64 // bytes
 	ControlReceived atomic.Int64 // bytes
 	ControlMessages atomic.Int64 // sent
@@ -42,6 +43,7 @@
 	}, []string{"direction"})
 	registry.MustRegister(c.requests, c.latency,
 		counterOf("loomcleat_retries_total", "Attempts after the first one that this process made.", &c.Retries),
+		counterOf("loomcleat_requests_ahead_total", "Requests that were served before their turn on a caller's connection.", &c.Ahead),
 		counterOf("loomcleat_control_sent_bytes_total", "Bytes written on control connections.", &c.ControlSent),
 		counterOf("loomcleat_control_received_bytes_total", "Bytes read on control connections.", &c.ControlReceived),
 		counterOf("loomcleat_control_messages_total", "Control messages sent.", &c.ControlMessages),
--- a/kernel/servers.go
+++ b/kernel/servers.go
@@ -40,7 +40,7 @@
 		}
 	}
 	if p.listeners.outbound != nil {
-		s.add(callerListener{Listener: p.listeners.outbound}, p.outboundHandler())
+		s.add(p.callers(p.listeners.outbound), p.outboundHandler())
 	}
 	if p.listeners.admin != nil {
 		s.add(p.listeners.admin, p.adminRoutes())
@@ -52,6 +52,15 @@
 	return s
 }
 
+// callers returns the listener for what the back end and, at an entry, callers
+// outside the mesh send.
+func (p *Process) callers(listener net.Listener) net.Listener {
+	if !p.Settings.Entry {
+		return callerListener{Listener: listener}
+	}
+	return callerListener{Listener: listener, start: p.startAhead}
+}
+
 func (s *servers) add(listener net.Listener, handler http.Handler) {
 	answerAll := func(http.Handler) http.Handler { return handler }
 	// Without an endpoint, kratos looks for one among the network interfaces,
