A row of requests that has begun is answered whatever ends its connection

A stopping process waits until answers of rows have been passed on. Tests: e2e TestAPlannedStopAnswersARow and the row in TestNodesOnThePlatform, both fail without the change; kernel TestAnAnswerThatBreaksOff.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -42,6 +43,14 @@
 		return
 	}
 	n.runs.Add(1)
+	if wait, err := time.ParseDuration(r.Header.Get("Work")); err == nil {
+		time.Sleep(wait)
+	}
+	if r.Header.Get("Break") != "" {
+		w.Header().Set("Content-Length", "64000")
+		_, _ = w.Write(make([]byte, 32000))
+		panic(http.ErrAbortHandler)
+	}
 	inner := ""
 	if target := r.Header.Get("Call"); target != "" {
 		request, _ := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+n.outbound+target, nil)
@@ -146,6 +155,38 @@
 	}
 }
 
+// row sends requests behind each other on one connection, each with a header, does
+// something once they run at a back end, and returns the statuses of the answers.
+func (n *platformNode) row(t *testing.T, runsAt *platformNode, headers []string, meanwhile func()) []int {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", n.outbound)
+	is.NoErr(err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	before := runsAt.runs.Load()
+	for _, header := range headers {
+		if header == "" {
+			header = "None: 1"
+		}
+		_, err = fmt.Fprintf(conn, "GET /front/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: row%d\r\nX-Deadline-Remaining: 5000\r\n%s\r\n\r\n",
+			platformRequests.Add(1), header)
+		is.NoErr(err)
+	}
+	until(t, "the row to begin", func() bool { return runsAt.runs.Load() >= before+int64(len(headers)) })
+	meanwhile()
+	statuses := []int{}
+	reader := bufio.NewReader(conn)
+	for range headers {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		statuses = append(statuses, response.StatusCode)
+	}
+	return statuses
+}
+
 // served asks until a request is served whole, as clients do that are told to
 // come back: a busy machine may make nodes doubt each other for a moment.
 func (n *platformNode) served(t *testing.T, path, call string) platformAnswer {
@@ -222,6 +263,10 @@
 	until(t, "the reload", func() bool { return strings.Contains(front.log.String(), "settings-reloaded") })
 	front.served(t, "/front/x", "")
 
+	// Requests in a row are served together; one whose answer breaks off loses nobody.
+	statuses := front.row(t, deep, []string{"Break: 1", "", "Work: 1s"}, func() {})
+	is.Equal(statuses, []int{http.StatusBadGateway, http.StatusOK, http.StatusOK})
+
 	// A back end that leaves gets nothing any more.
 	is.Equal(deep.beat("draining"), http.StatusOK)
 	until(t, "the back end to be closed", func() bool { return front.get("/deep/y", "").status == http.StatusServiceUnavailable })
@@ -243,3 +288,27 @@
 	}
 	is.True(err != nil) // nothing listens any more
 }
+
+// TestAPlannedStopAnswersARow: requests behind each other on a connection that have
+// begun are answered, whatever the stop says of the connection.
+func TestAPlannedStopAnswersARow(t *testing.T) {
+	is := is.New(t)
+	stub := metastore.NewServer()
+	store := httptest.NewServer(stub.Handler())
+	t.Cleanup(store.Close)
+	stub.Put("op/config", platformConfiguration(3, "front"))
+	front := startPlatformNode(t, store.URL, "front")
+	deep := startPlatformNode(t, store.URL, "deep")
+	for _, n := range []*platformNode{front, deep} {
+		until(t, "readiness", func() bool { return n.ready() == http.StatusOK })
+		is.Equal(n.beat("ready"), http.StatusOK)
+	}
+	deep.served(t, "/front/x", "")
+	statuses := deep.row(t, front, []string{"Work: 300ms", "Work: 600ms", "Work: 50ms"}, func() {
+		deep.signal(syscall.SIGTERM)
+		until(t, "the probe to fail", func() bool { return deep.ready() != http.StatusOK })
+	})
+	is.Equal(statuses, []int{http.StatusOK, http.StatusOK, http.StatusOK})
+	deep.terminate()
+	is.NoErr(deep.err)
+}
--- a/kernel/ahead.go
+++ b/kernel/ahead.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/loomcleat/loomcleat/result"
 )
 
 // ahead is a request that is served before its turn: its caller has sent it behind
@@ -60,6 +62,7 @@
 	}
 	a.status = status
 	a.head = a.header.Clone()
+	delete(a.head, "Connection") // whether it goes on is decided when the answer goes out
 	a.changed.Broadcast()
 }
 
@@ -98,7 +101,6 @@
 			panic(cause)
 		}
 		a.end(broken)
-		a.cancel()
 	}()
 	handler.ServeHTTP(a, a.request)
 	broken = false
@@ -110,43 +112,45 @@
 		(idHeader == "" || a.request.Header.Get(idHeader) == r.Header.Get(idHeader))
 }
 
-// passOn passes the answer on as it comes. An answer that is not whole breaks the
-// connection, as it would have without waiting.
+// passOn passes the answer on. One that fits into what is kept is passed on when it
+// is whole: if it breaks off, the caller gets a failure in its place, and what waits
+// behind it on the connection is not lost. A longer one is passed on as it comes and
+// breaks the connection if it breaks off.
 func (a *ahead) passOn(w http.ResponseWriter) {
-	status, head := a.awaitHead()
-	if status == 0 {
-		panic(http.ErrAbortHandler)
+	defer a.cancel()
+	if a.awaitWhole() {
+		brokenOff().WriteHTTP(w)
+		return
 	}
 	header := w.Header()
-	for name, values := range head {
+	for name, values := range a.head {
 		header[name] = values
 	}
-	w.WriteHeader(status)
-	controller := http.NewResponseController(w)
-	for {
-		data, last := a.take()
-		if len(data) > 0 {
-			if _, err := w.Write(data); err != nil {
-				a.cancel()
-				panic(http.ErrAbortHandler)
-			}
-		}
-		if last {
-			break
+	w.WriteHeader(a.status)
+	for last := false; !last; {
+		var data []byte
+		data, last = a.take()
+		if _, err := w.Write(data); err != nil {
+			panic(http.ErrAbortHandler)
 		}
-		_ = controller.Flush()
 	}
 	a.passTrailers(header)
 }
 
-// awaitHead waits for the head of the answer. The status is 0 when there is none.
-func (a *ahead) awaitHead() (status int, head http.Header) {
+// brokenOff is the failure in the place of an answer that broke off.
+func brokenOff() *result.Error {
+	return result.New(result.ConnectionLost, "the answer broke off")
+}
+
+// awaitWhole waits until the answer is whole, or more than is kept. It reports
+// whether it broke off before that.
+func (a *ahead) awaitWhole() (broken bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for a.status == 0 && !a.ended {
+	for !a.ended && len(a.body) < maximumAhead {
 		a.changed.Wait()
 	}
-	return a.status, a.head
+	return a.broken
 }
 
 // take waits for a part of the body and removes it. It reports whether it was the
@@ -157,7 +161,7 @@
 	for len(a.body) == 0 && !a.ended {
 		a.changed.Wait()
 	}
-	if a.ended && a.broken {
+	if a.broken {
 		panic(http.ErrAbortHandler)
 	}
 	data, a.body = a.body, nil
@@ -195,7 +199,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	started := newAhead(r.WithContext(ctx), cancel)
 	p.Counters.Ahead.Add(1)
-	go started.run(http.HandlerFunc(p.serveEntry))
+	p.Go(func() {
+		started.run(http.HandlerFunc(p.serveEntry))
+		<-ctx.Done() // a stopping process waits until the answer has been passed on
+	})
 	return started
 }
 
@@ -210,9 +217,11 @@
 	if begun == nil {
 		return false
 	}
+	conn.nextRequest()
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	if p.Leaving() {
+	begun.awaitWhole()
+	if behind := conn.beginAnswer(); !behind && p.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	begun.passOn(w)
--- a/kernel/ahead_test.go
+++ b/kernel/ahead_test.go
@@ -193,22 +193,37 @@
 	ended.Wait()
 }
 
-// TestAnAnswerThatBreaksOffIsNotWhole: what was served ahead ends as it would have in
-// its turn.
-func TestAnAnswerThatBreaksOffIsNotWhole(t *testing.T) {
-	is := is.New(t)
-	s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(w, "half")
-		if r.URL.Path == "/2" {
+// TestAnAnswerThatBreaksOff becomes a failure while nothing of it has gone out, and
+// those behind it are answered. A longer one breaks the connection.
+func TestAnAnswerThatBreaksOff(t *testing.T) {
+	for _, long := range []bool{false, true} {
+		is := is.New(t)
+		s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			if r.URL.Path != "/2" {
+				return
+			}
+			if long {
+				_, _ = w.Write(make([]byte, maximumAhead))
+				_, _ = io.WriteString(w, "more") // waits until the rest has been taken
+			}
 			panic(http.ErrAbortHandler)
+		})
+		caller := dialPipeliner(t, s)
+		_, err := io.WriteString(caller, getText("/1")+getText("/2")+getText("/3"))
+		is.NoErr(err)
+		got, err := caller.answer()
+		is.NoErr(err)
+		is.Equal(got, "200 half")
+		got, err = caller.answer()
+		if long {
+			is.True(err != nil)
+			continue
 		}
-	})
-	caller := dialPipeliner(t, s)
-	_, err := io.WriteString(caller, getText("/1")+getText("/2")+getText("/3"))
-	is.NoErr(err)
-	got, err := caller.answer()
-	is.NoErr(err)
-	is.Equal(got, "200 half")
-	_, err = caller.answer()
-	is.True(err != nil)
+		is.NoErr(err)
+		is.True(strings.HasPrefix(got, "502 "))
+		got, err = caller.answer()
+		is.NoErr(err)
+		is.Equal(got, "200 half")
+	}
 }
--- a/kernel/answer.go
+++ b/kernel/answer.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -36,6 +37,24 @@
 	}
 }
 
+// holdBody reads a body, up to what is kept of an answer, before its head goes out.
+// One that breaks off becomes a failure, so that the connection can go on.
+func holdBody(answer *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maximumAhead))
+	if err != nil {
+		_ = answer.Body.Close()
+		return brokenOff()
+	}
+	answer.Body = &heldBody{Reader: io.MultiReader(bytes.NewReader(data), answer.Body), Closer: answer.Body}
+	return nil
+}
+
+// heldBody is a body of which a part has been read already.
+type heldBody struct {
+	io.Reader
+	io.Closer
+}
+
 // copyBody passes the body on. What has been read is flushed unless the body is
 // whole, since the caller may wait for it while the rest takes its time.
 func copyBody(w http.ResponseWriter, answer *http.Response) error {
--- a/kernel/boundary.go
+++ b/kernel/boundary.go
@@ -49,7 +49,7 @@
 	end += len(headEnd)
 	length, known := bodyLength(s.head[:end])
 	known = known && end <= maximumScannedHead
-	simple := readsOnly(s.head)
+	simple := readsOnly(s.head[:end])
 	s.head = s.head[:0]
 	if !known {
 		s.unsure = true
@@ -64,9 +64,22 @@
 	return !s.unsure && len(s.head) == 0 && s.bodyLeft == 0
 }
 
-// readsOnly reports whether a head begins with a method that changes nothing.
+// readsOnly reports whether a head is that of a request which changes nothing, and
+// behind which the connection goes on.
 func readsOnly(head []byte) bool {
-	return bytes.HasPrefix(head, []byte(http.MethodGet+" ")) || bytes.HasPrefix(head, []byte(http.MethodHead+" "))
+	line, fields, _ := bytes.Cut(head, []byte("\r\n"))
+	method, _, _ := bytes.Cut(line, []byte(" "))
+	if string(method) != http.MethodGet && string(method) != http.MethodHead {
+		return false
+	}
+	return bytes.HasSuffix(line, []byte(" HTTP/1.1")) && !closes(fields)
+}
+
+// closes reports whether header fields may say that the connection ends behind the
+// request.
+func closes(fields []byte) bool {
+	lower := bytes.ToLower(fields)
+	return bytes.Contains(lower, []byte("connection")) && bytes.Contains(lower, []byte("close"))
 }
 
 // bodyLength returns the length of the body of a request by its head. It is known
--- a/kernel/boundary_test.go
+++ b/kernel/boundary_test.go
@@ -41,6 +41,8 @@
 		{"a body that looks like a request", post + get, []string{post, get}, []bool{false, true}},
 		{"an empty body", empty + get, []string{empty, get}, []bool{false, true}},
 		{"chunks", get + chunked + get, []string{get}, []bool{true}},
+		{"the last one", strings.Replace(get, "Host", "Connection: close\r\nHost", 1) + get, []string{strings.Replace(get, "Host", "Connection: close\r\nHost", 1), get}, []bool{false, true}},
+		{"an older protocol", strings.Replace(get, "1.1", "1.0", 1) + get, []string{strings.Replace(get, "1.1", "1.0", 1), get}, []bool{false, true}},
 		{"two lengths", "GET /a HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n" + get, nil, nil},
 		{"a length that is none", "GET /a HTTP/1.1\r\nContent-Length: +5\r\n\r\n" + get, nil, nil},
 		{"a blank before the colon", "GET /a HTTP/1.1\r\nContent-Length : 5\r\n\r\n" + get, nil, nil},
--- a/kernel/peer.go
+++ b/kernel/peer.go
@@ -71,12 +71,13 @@
 	simple  bool            // the request that the server has reads only
 	over    error           // the connection has ended so
 
-	mutex  sync.Mutex
-	queue  []*ahead // in the order of the connection
-	parsed int      // bytes of kept that have been looked at
-	behind bool     // the server has a byte of a later request
-	gone   func()   // of the request that is being served, nil between requests
-	look   *time.Timer
+	mutex     sync.Mutex
+	queue     []*ahead // in the order of the connection
+	parsed    int      // bytes of kept that have been looked at
+	answering bool     // the answer to the request that the server has goes out
+	behind    bool     // the server has a byte of a later request
+	gone      func()   // of the request that is being served, nil between requests
+	look      *time.Timer
 }
 
 // Bounds of what is served ahead.
@@ -173,7 +174,7 @@
 func (c *callerConn) runAhead() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for c.simple && len(c.queue) < maximumQueue && c.parsed < len(c.kept) {
+	for c.simple && !c.answering && len(c.queue) < maximumQueue && c.parsed < len(c.kept) {
 		var scanner boundaryScanner
 		raw := c.kept[c.parsed:]
 		next := scanner.next(raw)
@@ -231,6 +232,30 @@
 	c.queue = nil
 }
 
+// nextRequest takes note that the server has come to the next request.
+func (c *callerConn) nextRequest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answering = false
+}
+
+// beginAnswer takes note that the answer to the request that the server has begins to
+// go out, from when on nothing is begun behind it. It reports whether something was,
+// which would be lost with the connection.
+func (c *callerConn) beginAnswer() (behind bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answering = true
+	return len(c.queue) > 0
+}
+
+// beginAnswer takes note that the answer to a request begins to go out, and reports
+// whether requests behind it on its connection have been begun.
+func beginAnswer(r *http.Request) (behind bool) {
+	conn := callerConnOf(r)
+	return conn != nil && conn.beginAnswer()
+}
+
 // Close implements net.Conn. What was begun on the connection is given up.
 func (c *callerConn) Close() error {
 	c.cancel()
@@ -275,6 +300,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.gone = gone
+	c.answering = false
 	c.lookLater()
 }
 
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -41,9 +41,13 @@
 	if call != nil && call.Inbound {
 		p.addReport(w.Header(), call)
 	}
-	if p.Leaving() {
+	behind := beginAnswer(r)
+	if p.Leaving() && !behind {
 		w.Header().Set("Connection", "close")
 	}
+	if err == nil && behind {
+		err = holdBody(answer.Response)
+	}
 	if err != nil {
 		p.logEnd(r, call, direction, err, time.Since(started))
 		result.From(err).WriteHTTP(w)
