Hollow processes go

Change: internal/lab/hollow.go, the command `loomcleat-lab capacity` and the option of the kernel are removed; membership at size stays in virtual time (lab.GossipSim). Checked: vet, staticcheck, tests of kernel and e2e on the platform.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,11 +36,6 @@
 	return open(kernel.Options{Settings: s, Log: log, Dial: dial})
 }
 
-// OpenHollow makes a Process without traffic, to measure the cost of control.
-func OpenHollow(s settings.Settings, log *event.Logger) (*kernel.Process, error) {
-	return open(kernel.Options{Settings: s, Log: log, Hollow: true})
-}
-
 func open(options kernel.Options) (*kernel.Process, error) {
 	s := options.Settings
 	if s.StoreAPI == settings.StorePlatform {
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -34,8 +34,7 @@
 
 	Experiment experimentCommand `cmd:"" help:"Play overload scenarios in virtual time and compare ways of control."`
 
-	Capacity capacityCommand `cmd:"" help:"Measure what control costs with hollow processes of several numbers."`
-	Gossip   gossipCommand   `cmd:"" help:"Measure failure detection in virtual time."`
+	Gossip gossipCommand `cmd:"" help:"Measure failure detection in virtual time."`
 }
 
 // Run runs the command line and returns the exit status.
--- a/kernel/listeners.go
+++ b/kernel/listeners.go
@@ -20,10 +20,10 @@
 		into    *net.Listener
 		wanted  bool
 	}{
-		{p.Settings.Listen, &p.listeners.traffic, !p.hollow},
-		{p.Settings.Outbound, &p.listeners.outbound, !p.hollow && p.IsNode()},
+		{p.Settings.Listen, &p.listeners.traffic, true},
+		{p.Settings.Outbound, &p.listeners.outbound, p.IsNode()},
 		{p.Settings.Control, &p.listeners.control, true},
-		{p.Settings.Admin, &p.listeners.admin, !p.hollow},
+		{p.Settings.Admin, &p.listeners.admin, true},
 	}
 	for _, target := range targets {
 		if !target.wanted {
--- a/kernel/options.go
+++ b/kernel/options.go
@@ -28,9 +28,6 @@
 	// Registry is where the process enters itself, so that others find it.
 	// Nil: none.
 	Registry store.Registry
-	// Hollow leaves out the traffic listeners. Hollow processes measure the
-	// cost of control.
-	Hollow bool
 }
 
 // Endpoint is a listener that is served apart from those of the settings.
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -48,7 +48,6 @@
 	// heartbeats.
 	BackEnd BackEnd
 
-	hollow     bool
 	inFlight   atomic.Int64
 	ready      atomic.Bool
 	leaving    atomic.Bool
@@ -105,7 +104,6 @@
 		Dialect:  options.Dialect,
 		Registry: options.Registry,
 		Metrics:  prometheus.NewRegistry(),
-		hollow:   options.Hollow,
 		stopped:  make(chan struct{}),
 	}
 	p.context, p.cancel = context.WithCancel(context.Background())
