One look at a socket for idle connections and for callers that leave

Cause: internal/socket had its look twice, for the race detector and without it, and the kernel a third one of the same shape. Behaviour stays.

--- a/internal/socket/direct.go
+++ b/internal/socket/direct.go
@@ -1,4 +1,4 @@
-//go:build linux && !race
+//go:build !race
 
 package socket
 
@@ -109,23 +109,10 @@
 	}
 }
 
-// Quiet reports whether nothing has come on an idle connection: neither bytes,
-// nor its end, nor an error. It reports true when that cannot be told.
-func Quiet(conn net.Conn) bool {
-	source, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
+// peek looks for a byte that has come, without taking it.
+func peek(descriptor uintptr) syscall.Errno {
 	var one [1]byte
-	err = raw.Control(func(descriptor uintptr) {
-		_, _, number := syscall.RawSyscall6(syscall.SYS_RECVFROM, descriptor, uintptr(unsafe.Pointer(&one[0])),
-			uintptr(len(one)), syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
-		quiet = number == syscall.EAGAIN
-	})
-	return err == nil && quiet
+	_, _, number := syscall.RawSyscall6(syscall.SYS_RECVFROM, descriptor, uintptr(unsafe.Pointer(&one[0])),
+		uintptr(len(one)), syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+	return number
 }
--- a/internal/socket/plain.go
+++ b/internal/socket/plain.go
@@ -1,8 +1,9 @@
-//go:build !linux || race
+//go:build race
 
 package socket
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
@@ -10,22 +11,11 @@
 // Wrap returns conn.
 func Wrap(conn net.Conn) net.Conn { return conn }
 
-// Quiet reports whether nothing has come on an idle connection: neither bytes,
-// nor its end, nor an error. It reports true when that cannot be told.
-func Quiet(conn net.Conn) bool {
-	source, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
+// peek looks for a byte that has come, without taking it.
+func peek(descriptor uintptr) syscall.Errno {
 	var one [1]byte
-	err = raw.Control(func(descriptor uintptr) {
-		_, _, problem := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = problem == syscall.EAGAIN
-	})
-	return err == nil && quiet
+	_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	var number syscall.Errno
+	errors.As(err, &number)
+	return number
 }
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -92,8 +92,22 @@
 	_, err = near.Read(make([]byte, 1))
 	is.NoErr(err)
 	is.True(Quiet(near)) // looking took nothing
+	is.True(!Ended(near))
 	far.Close()
 	eventually(t, func() bool { return !Quiet(near) })
+	eventually(t, func() bool { return Ended(near) })
+	near.Close()
+	is.True(!Quiet(near)) // nothing can be sent on it
+}
+
+// TestWhatShowsNoDescriptor counts as well.
+func TestWhatShowsNoDescriptor(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	is.True(Quiet(near))
+	is.True(!Ended(near))
 }
 
 func eventually(t *testing.T, holds func() bool) {
--- a/kernel/peer.go
+++ b/kernel/peer.go
@@ -4,10 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/loomcleat/loomcleat/internal/socket"
 )
 
 // connectionKey is the key of the connection in the context of a request.
@@ -47,7 +46,7 @@
 	if c.gone == nil {
 		return
 	}
-	if peerClosed(c.Conn) {
+	if socket.Ended(c.Conn) {
 		c.gone()
 		return
 	}
@@ -83,23 +82,3 @@
 	conn.watch(gone)
 	return conn.unwatch
 }
-
-// peerClosed reports whether the peer of a connection has closed it, whatever it
-// has sent before. It reports false when that cannot be told.
-func peerClosed(conn net.Conn) bool {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	_ = control.Control(func(descriptor uintptr) {
-		poll := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
-		ready, err := unix.Poll(poll, 0)
-		closed = err == nil && ready > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return closed
-}
