The first request of a row takes no other's place

Go's server begins its look at a connection before it calls the handler of a request, so that those behind may have begun when the handler asks whether its own request has. It took the first of the queue, found that it was another, gave up all that had begun, and they ran again. Change: the connection notes, when the server is given the end of a request, whether that request was begun; only then is the first of the queue taken. Tests: kernel TestTheFirstOfARowTakesNoneOfTheOthers fails without the change (shown) and passes with it; the tests of rows 12 times with the race detector, all tests of kernel 3 times.

--- a/kernel/ahead_test.go
+++ b/kernel/ahead_test.go
@@ -120,6 +120,39 @@
 	}
 }
 
+// TestTheFirstOfARowTakesNoneOfTheOthers: those behind it may have been begun before
+// the server has called the handler for it.
+func TestTheFirstOfARowTakesNoneOfTheOthers(t *testing.T) {
+	is := is.New(t)
+	s := startAheadServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	served := s.Config.Handler
+	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := callerConnOf(r)
+		for r.URL.Path == "/1" && conn.begun() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		served.ServeHTTP(w, r)
+	})
+	caller := dialPipeliner(t, s)
+	_, err := io.WriteString(caller, getText("/1")+getText("/2")+getText("/3"))
+	is.NoErr(err)
+	for _, path := range []string{"/1", "/2", "/3"} {
+		got, err := caller.answer()
+		is.NoErr(err)
+		is.Equal(got, "200 "+path)
+	}
+	is.Equal(len(s.paths()), 3) // each has run once
+}
+
+// begun returns the number of requests that were begun and not taken.
+func (c *callerConn) begun() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.queue)
+}
+
 // TestARowThatIsLongerThanTheQueue, with answers that are longer than what is kept
 // of them, is answered whole and in order.
 func TestARowThatIsLongerThanTheQueue(t *testing.T) {
--- a/kernel/caller.go
+++ b/kernel/caller.go
@@ -58,7 +58,8 @@
 
 	mutex     sync.Mutex
 	queue     []*ahead // in the order of the connection
-	parsed    int      // bytes of kept that have been looked at
+	parsed    int      // bytes of kept that belong to requests that were begun
+	wasBegun  bool     // the request that the server has is the first of the queue
 	answering bool     // the answer to the request that the server has goes out
 	behind    bool     // the server has a byte of a later request
 	gone      func()   // of the request that is being served, nil between requests
@@ -116,8 +117,11 @@
 	n := copy(data, available[:next.length])
 	c.kept = c.kept[n:]
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if next.whole {
+		c.wasBegun = c.parsed > 0
+	}
 	c.parsed = max(c.parsed-n, 0)
-	c.mutex.Unlock()
 	return n
 }
 
@@ -196,9 +200,10 @@
 func (c *callerConn) takeAhead(r *http.Request, idHeader string) *ahead {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.queue) == 0 {
-		return nil
+	if !c.wasBegun || len(c.queue) == 0 {
+		return nil // those of the queue come behind it
 	}
+	c.wasBegun = false
 	first := c.queue[0]
 	c.queue = c.queue[1:]
 	if !first.is(r, idHeader) {
