Calls stay in their zone by what its nodes show, however few they are

Change: the nodes of the own zone that are sound (known load, past their start, few faults and refusals, not four times slower than the fastest) keep calls while their load leaves room. Loads are kept for each node and forgotten by half in a second. One call in fifty compares all nodes, so that a slow zone shows.

Ruled out: a fixed smaller number of nodes, which would keep calls at one that fails or is cold.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,6 @@
 	config Config
 	states map[string]*state
 	list   []*state
-	zone   zoneLoad
 }
 
 // state is what is known of one node.
@@ -42,6 +41,7 @@
 	ejections    int       // in a row
 	ejectedUntil time.Time
 	onTrial      bool
+	load         nodeLoad
 	levels       map[string]levelEntry // by call path
 }
 
@@ -95,7 +95,7 @@
 	if len(candidates) == 0 {
 		return Target{}, false
 	}
-	chosen := b.cheapest(now, b.staying(candidates))
+	chosen := b.cheapest(now, b.staying(now, candidates))
 	chosen.inFlight++
 	if chosen.ejections > 0 {
 		chosen.onTrial = true
--- a/balance/config.go
+++ b/balance/config.go
@@ -51,6 +51,9 @@
 	// calls: it counts half after this time, so that a node that was slow is tried
 	// again. Shorter tries sooner, longer loses less time to a slow one. Default 2s.
 	LatencyHalfLife time.Duration
+	// LoadHalfLife is how fast the load that a node has shown is forgotten when it
+	// gets no calls. Shorter tries a full node sooner, longer spares it. Default 1s.
+	LoadHalfLife time.Duration
 	// LevelHalfLife is how fast an admission level that was not confirmed is
 	// forgotten: after this time it counts half. Default 500ms.
 	LevelHalfLife time.Duration
@@ -71,6 +74,7 @@
 	setDuration(&c.FaultHalfLife, 2*time.Second)
 	setDuration(&c.RefusalHalfLife, 500*time.Millisecond)
 	setDuration(&c.LatencyHalfLife, 2*time.Second)
+	setDuration(&c.LoadHalfLife, time.Second)
 	setDuration(&c.LevelHalfLife, 500*time.Millisecond)
 	if c.EjectAfter == 0 {
 		c.EjectAfter = 4
--- a/balance/zone.go
+++ b/balance/zone.go
@@ -1,24 +1,32 @@
 package balance
 
-// zoneLoad is the load that the nodes of the own zone have shown lately.
-//
-// With many nodes, a process sees each of them now and then only, but those of its
-// zone together often. While they have room, calls stay in the zone: bytes between
-// zones cost, and zones lose each other.
-type zoneLoad struct {
-	known  bool
-	smooth float64 // share of the places that are taken
-}
+import "time"
+
+// Calls stay in the zone of this process while the zone has room: bytes between
+// zones cost, and zones lose each other. What the nodes of the zone show decides,
+// not how many there are. A zone with one node keeps its calls as long as that node
+// has room and is sound, and a sound node elsewhere is one retry away.
 
 const (
-	// leastNear is the number of nodes of the own zone from which on calls may stay
-	// with them alone. Fewer leave no choice when one of them is slow.
-	leastNear = 3
-	// Calls stay in the zone while its load is below stayBelow. From there on, the
-	// share that stays falls until it ends at leaveAbove.
+	// Calls stay in the zone while the load of its sound nodes is below stayBelow.
+	// From there on, the share that stays falls until it ends at leaveAbove. Between
+	// 0.6 and 0.85 of their places taken, nodes answer without a queue in the bench's
+	// plays, and random arrivals still find a place.
 	stayBelow  = 0.6
 	leaveAbove = 0.85
-	// loadSmoothing is the weight of one answer in the smoothed load.
+	// mostFaults and mostRefusals are the shares of failed and refused calls from
+	// which on a node of the zone does not keep calls. One failure among the last
+	// calls (smoothing) is below mostFaults, two are not.
+	mostFaults   = 0.15
+	mostRefusals = 0.15
+	// mostSlower is how many times the latency of the fastest node a node of the zone
+	// may have and keep its calls. Back ends of one service differ in speed, by
+	// three times on the users' sites; a back end in trouble is slower than that.
+	mostSlower = 4
+	// mostStaying is the largest share of calls that stay: the others compare all
+	// nodes, so that a slow zone is seen to be slow.
+	mostStaying = 0.98
+	// loadSmoothing is the weight of one answer in the smoothed load of a node.
 	loadSmoothing = 0.15
 	// mostLoad bounds what one answer counts, so that one long queue is forgotten
 	// soon.
@@ -27,46 +35,98 @@
 
 // SetLoad records the load that a node showed: the requests that it works on or has
 // waiting as a share of those that it works on at a time.
-func (b *Balancer) SetLoad(id string, load float64) {
+func (b *Balancer) SetLoad(now time.Time, id string, load float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	s, exists := b.states[id]
-	if !exists || !b.inOwnZone(s.target) {
-		return
+	if s, exists := b.states[id]; exists {
+		s.load.learn(now, b.config.LoadHalfLife, min(load, mostLoad))
 	}
-	load = min(load, mostLoad)
-	if !b.zone.known {
-		b.zone = zoneLoad{known: true, smooth: load}
+}
+
+// nodeLoad is the load that a node has shown lately.
+type nodeLoad struct {
+	known  bool
+	smooth float64 // share of the places that are taken
+	since  time.Time
+}
+
+func (l *nodeLoad) learn(now time.Time, halfLife time.Duration, load float64) {
+	if !l.known {
+		*l = nodeLoad{known: true, smooth: load, since: now}
 		return
 	}
-	b.zone.smooth += loadSmoothing * (load - b.zone.smooth)
+	believed := l.at(now, halfLife)
+	l.smooth = believed + loadSmoothing*(load-believed)
+	l.since = now
 }
 
-// stayShare is the share of calls that stay in the zone, 0 to 1.
-func (z zoneLoad) stayShare() float64 {
-	if !z.known {
-		return 0
-	}
-	return min(max((leaveAbove-z.smooth)/(leaveAbove-stayBelow), 0), 1)
+// at returns the load as it is believed now. It is forgotten with time, so that a
+// node that was full is tried again.
+func (l *nodeLoad) at(now time.Time, halfLife time.Duration) float64 {
+	return l.smooth * decay(now.Sub(l.since), halfLife)
+}
+
+// stayShare is the share of calls that stay at nodes of a load, 0 to mostStaying.
+func stayShare(load float64) float64 {
+	return min(max((leaveAbove-load)/(leaveAbove-stayBelow), 0), mostStaying)
 }
 
 // randomParts is the resolution of a random share.
 const randomParts = 1000
 
-// staying returns the candidates of the own zone when a call is to stay there, all
-// candidates otherwise.
-func (b *Balancer) staying(candidates []*state) []*state {
-	share := b.zone.stayShare()
-	if share == 0 || b.config.Random(randomParts) >= int(share*randomParts) {
+// staying returns the sound candidates of the own zone when a call is to stay there,
+// all candidates otherwise.
+func (b *Balancer) staying(now time.Time, candidates []*state) []*state {
+	own := b.soundOwnZone(now, candidates)
+	if len(own) == 0 {
 		return candidates
 	}
-	own := b.ownZone(candidates)
-	if len(own) < leastNear {
+	sum := 0.0
+	for _, candidate := range own {
+		sum += candidate.load.at(now, b.config.LoadHalfLife)
+	}
+	share := stayShare(sum / float64(len(own)))
+	if share == 0 || b.config.Random(randomParts) >= int(share*randomParts) {
 		return candidates
 	}
 	return own
 }
 
+// soundOwnZone returns the candidates of the own zone that may keep calls.
+func (b *Balancer) soundOwnZone(now time.Time, candidates []*state) []*state {
+	fastest := fastestLatency(candidates)
+	own := make([]*state, 0, len(candidates))
+	for _, candidate := range candidates {
+		if b.inOwnZone(candidate.target) && b.keepsCalls(now, candidate, fastest) {
+			own = append(own, candidate)
+		}
+	}
+	return own
+}
+
+// keepsCalls reports whether a node may keep the calls of its zone: it has shown its
+// load, is past its start, neither fails nor refuses, and is not far slower than
+// the fastest. One that takes calls for the first time shares them with all.
+func (b *Balancer) keepsCalls(now time.Time, s *state, fastest float64) bool {
+	return s.load.known &&
+		now.Sub(s.target.Since) >= b.config.WarmUp &&
+		s.faults.at(now, b.config.FaultHalfLife) < mostFaults &&
+		s.refusals.at(now, b.config.RefusalHalfLife) < mostRefusals &&
+		s.latency <= mostSlower*max(fastest, minimumLatency)
+}
+
+// fastestLatency returns the lowest latency that a candidate has shown, in seconds,
+// 0 when none has.
+func fastestLatency(candidates []*state) float64 {
+	fastest := 0.0
+	for _, candidate := range candidates {
+		if candidate.latency > 0 && (fastest == 0 || candidate.latency < fastest) {
+			fastest = candidate.latency
+		}
+	}
+	return fastest
+}
+
 // ownZone returns the candidates of the own zone.
 func (b *Balancer) ownZone(candidates []*state) []*state {
 	own := make([]*state, 0, len(candidates))
--- a/plugin/routing/answer.go
+++ b/plugin/routing/answer.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return
 	}
-	balancer.SetLoad(target.ID, float64(percent)/100)
+	balancer.SetLoad(time.Now(), target.ID, float64(percent)/100)
 }
 
 // timeoutPressure is the pressure of an attempt that was not answered in time:
