--- a/admission/gate.go
+++ b/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // GateConfig configures a Gate.
 type GateConfig struct {
@@ -44,6 +47,11 @@
 	defaultLeastShare = 0.05
 	// raiseStep is what the share rises by in a window without any pressure.
 	raiseStep = 0.02
+	// quietPressure is the pressure below which nothing waits to speak of, so that the
+	// share may rise by quietStep in place of raiseStep: what a gate refuses after
+	// overload has ended is lost for nothing.
+	quietPressure = 0.25
+	quietStep     = 0.03
 	// lowerStep is what the share falls by, as a part of it, for each 1 that the
 	// pressure is above 1, and mostLowered the most in a window.
 	lowerStep   = 0.01
@@ -51,8 +59,12 @@
 	// fallingShare of the pressure of the window before counts as falling: a
 	// queue that is being worked off needs no lower share.
 	fallingShare = 0.97
-	// mostWindows bounds the windows that are made up for after a pause.
+	// mostWindows bounds the windows that one sample stands for. A gate that sees a
+	// request a second moves as far in that second as one that sees hundreds.
 	mostWindows = 10
+	// trialAfterWindows is the number of windows without any sample after which the
+	// share rises all the same: what is refused shows nothing.
+	trialAfterWindows = 10
 )
 
 // NewGate returns a Gate that admits everything.
@@ -78,24 +90,42 @@
 	g.samples++
 }
 
-// adjust closes the window when its time is over.
+// adjust closes the window when its time is over. One without samples goes on until
+// there is one: no evidence of pressure is no evidence of room.
 func (g *Gate) adjust(now time.Time) {
 	if now.Before(g.end) {
 		return
 	}
 	windows := 1 + int(now.Sub(g.end)/g.config.Window)
-	g.end = g.end.Add(time.Duration(windows) * g.config.Window)
-	pressure := 0.0
-	if g.samples > 0 {
-		pressure = g.sum / float64(g.samples)
+	if g.samples == 0 {
+		g.tryOpening(windows - trialAfterWindows)
+		return
 	}
+	g.end = g.end.Add(time.Duration(windows) * g.config.Window)
+	pressure := g.sum / float64(g.samples)
 	g.sum, g.samples = 0, 0
+	counted := float64(min(windows, mostWindows))
 	switch {
+	case pressure <= quietPressure:
+		g.share += quietStep * (1 - pressure) * counted
 	case pressure <= 1:
-		g.share += raiseStep * (1 - pressure) * float64(min(windows, mostWindows))
+		g.share += raiseStep * (1 - pressure) * counted
 	case pressure > g.before*fallingShare:
-		g.share *= 1 - min(lowerStep*(pressure-1), mostLowered)
+		g.share *= math.Pow(1-min(lowerStep*(pressure-1), mostLowered), counted)
 	}
 	g.before = pressure
-	g.share = min(max(g.share, g.config.LeastShare), 1)
+	g.bound()
+}
+
+// tryOpening raises the share by the windows beyond those that a gate waits for a
+// sample, and counts them as closed.
+func (g *Gate) tryOpening(windows int) {
+	if windows <= 0 {
+		return
+	}
+	g.end = g.end.Add(time.Duration(windows) * g.config.Window)
+	g.share += raiseStep * float64(windows)
+	g.bound()
 }
+
+func (g *Gate) bound() { g.share = min(max(g.share, g.config.LeastShare), 1) }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -73,3 +73,25 @@
 	}
 	is.Equal(gate.Share(), 1.0)
 }
+
+// TestAGateThatSeesLittleMovesAsFar: at a request a second most windows have no sample.
+// They are no evidence of room, or the gate would be open under any pressure.
+func TestAGateThatSeesLittleMovesAsFar(t *testing.T) {
+	for name, every := range map[string]time.Duration{"busy": 10 * ms, "some": 200 * ms, "rare": 900 * ms} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gate := NewGate(epoch, GateConfig{})
+			now := epoch
+			for now.Sub(epoch) < 10*time.Second {
+				now = now.Add(every)
+				gate.Done(now, 10)
+			}
+			is.True(gate.Share() < 0.1)
+			for now.Sub(epoch) < 25*time.Second {
+				now = now.Add(every)
+				gate.Done(now, 0)
+			}
+			is.True(gate.Share() > 0.9)
+		})
+	}
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,10 +6,11 @@
 // are not asked, since they lag and mislead.
 //
 // A few random candidates and one of the own zone are compared and the cheapest is
-// taken (after "the power of two choices"). While the nodes of the own zone have room,
-// by the load that their answers show, only they are compared. The cost of a node is its smoothed latency times its calls
-// in flight, raised for another zone or region, for a node that has just
-// started, and for one that would refuse the call's priority. A node that fails
+// taken (after "the power of two choices"). While sound nodes of the own zone have
+// room, by the load that their answers show, only they are compared. The cost of a
+// node is its smoothed latency times its calls in flight, raised for another zone or
+// region, for a node that has just started, and for one that would refuse the call's
+// priority. A node that fails
 // several times in a row is ejected for a while and then gets one trial call
 // at a time.
 //
@@ -36,8 +37,9 @@
 	latency      float64   // smoothed, seconds
 	learnedAt    time.Time // when latency last changed
 	failures     int       // in a row
-	faults       share     // of calls that failed
-	refusals     share     // of calls that were refused
+	faults       Share     // of calls that failed
+	told         toldShare // of requests that the back end failed, by its node
+	refusals     Share     // of calls that were refused
 	ejections    int       // in a row
 	ejectedUntil time.Time
 	onTrial      bool
@@ -85,16 +87,31 @@
 	return len(b.list)
 }
 
-// Pick returns a node for a call of the given priority and call path that is
-// not in exclude, and counts the call as in flight to it. It reports false when
-// there is none. Each Pick must be followed by one Done.
-func (b *Balancer) Pick(now time.Time, path string, priority int, exclude []string) (Target, bool) {
+// Need is what a call asks of the node that it goes to.
+type Need struct {
+	// Path is the call path, whose admission levels count.
+	Path string
+	// Priority is that of the user request.
+	Priority int
+	// Exclude lists the nodes that were tried before.
+	Exclude []string
+	// Once says that the call may not be repeated, so that a lost answer is lost
+	// for good. It goes to nodes whose back end has answered well lately.
+	Once bool
+}
+
+// Pick returns a node for a call and counts the call as in flight to it. It reports
+// false when there is none. Each Pick must be followed by one Done.
+func (b *Balancer) Pick(now time.Time, need Need) (Target, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	candidates := b.candidates(now, path, priority, exclude)
+	candidates := b.candidates(now, need)
 	if len(candidates) == 0 {
 		return Target{}, false
 	}
+	if need.Once {
+		candidates = b.reliable(now, candidates)
+	}
 	chosen := b.cheapest(now, b.staying(now, candidates))
 	chosen.inFlight++
 	if chosen.ejections > 0 {
@@ -149,10 +166,10 @@
 // candidates returns the best group of nodes that is not empty: those that
 // would admit the priority, then those that are well, then those that stay, then
 // all.
-func (b *Balancer) candidates(now time.Time, path string, priority int, exclude []string) []*state {
+func (b *Balancer) candidates(now time.Time, need Need) []*state {
 	var admitting, well, staying, all []*state
 	for _, candidate := range b.list {
-		if excluded(candidate.target.ID, exclude) {
+		if excluded(candidate.target.ID, need.Exclude) {
 			continue
 		}
 		all = append(all, candidate)
@@ -164,7 +181,7 @@
 			continue
 		}
 		well = append(well, candidate)
-		if b.levelOf(now, candidate, path) <= priority {
+		if b.levelOf(now, candidate, need.Path) <= need.Priority {
 			admitting = append(admitting, candidate)
 		}
 	}
--- a/balance/config.go
+++ b/balance/config.go
@@ -30,7 +30,9 @@
 	RegionCost time.Duration
 
 	// WarmUp is the time in which a new node comes to its full share. Longer is
-	// gentler to cold back ends, shorter uses them sooner. Default 5s.
+	// gentler to cold back ends, shorter uses them sooner; a back end may be warm
+	// although its node was started again, and its latency shows what it is.
+	// Default 2s.
 	WarmUp time.Duration
 
 	// EjectAfter is the number of failures in a row that eject a node. Default 4.
@@ -68,7 +70,7 @@
 func (c *Config) setDefaults() {
 	setDuration(&c.ZoneCost, 500*time.Microsecond)
 	setDuration(&c.RegionCost, 20*time.Millisecond)
-	setDuration(&c.WarmUp, 5*time.Second)
+	setDuration(&c.WarmUp, 2*time.Second)
 	setDuration(&c.EjectTime, time.Second)
 	setDuration(&c.MaximumEjectTime, 10*time.Second)
 	setDuration(&c.FaultHalfLife, 2*time.Second)
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -28,8 +28,8 @@
 		warm := max(age.Seconds()/b.config.WarmUp.Seconds(), 0.1)
 		cost /= warm
 	}
-	served := 1 - s.refusals.at(now, b.config.RefusalHalfLife)
-	sound := 1 - s.faults.at(now, b.config.FaultHalfLife)
+	served := 1 - s.refusals.At(now, b.config.RefusalHalfLife)
+	sound := 1 - b.faultsOf(now, s)
 	return cost / max(served*math.Pow(sound, faultWeight), leastYield)
 }
 
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -11,7 +11,7 @@
 	Faulty                  // an answer of the back end that tells of a failure
 	Refused                 // the node did not run the call
 	Failed                  // no connection, a broken one, or no answer in time
-	Unknown                 // the caller gave up; nothing is learned
+	Unknown                 // the caller gave up; only the time that it waited is learned
 )
 
 // smoothing is the weight of one call in the smoothed latency.
@@ -27,16 +27,19 @@
 	}
 	s.inFlight = max(s.inFlight-1, 0)
 	s.onTrial = false
-	s.refusals.learn(now, b.config.RefusalHalfLife, outcome == Refused)
+	s.refusals.Learn(now, b.config.RefusalHalfLife, outcome == Refused)
 	switch outcome {
 	case Answered, Faulty:
-		s.learnLatency(now, latency)
-		s.faults.learn(now, b.config.FaultHalfLife, outcome == Faulty)
+		b.learnLatency(now, s, latency)
+		s.faults.Learn(now, b.config.FaultHalfLife, outcome == Faulty)
 		b.responded(s)
 	case Refused:
 		b.responded(s)
+	case Unknown:
+		b.learnLeastLatency(now, s, latency)
 	case Failed:
-		s.faults.learn(now, b.config.FaultHalfLife, true)
+		b.learnLeastLatency(now, s, latency)
+		s.faults.Learn(now, b.config.FaultHalfLife, true)
 		s.failures++
 		if s.failures >= b.config.EjectAfter || s.ejections > 0 {
 			b.eject(now, s)
@@ -53,13 +56,29 @@
 	}
 }
 
-func (s *state) learnLatency(now time.Time, latency time.Duration) {
+// learnLatency takes the latency of a call. It counts the more, the older what is
+// known is, so that a node that was slow is not taken for slow after it has answered
+// fast.
+func (b *Balancer) learnLatency(now time.Time, s *state, latency time.Duration) {
+	weight := 1 - (1-smoothing)*decay(now.Sub(s.learnedAt), b.config.LatencyHalfLife)
 	s.learnedAt = now
 	if s.latency == 0 {
-		s.latency = latency.Seconds()
-		return
+		weight = 1
+	}
+	s.latency += weight * (latency.Seconds() - s.latency)
+}
+
+// farLonger is how many times its usual latency a call must have waited for a node in
+// vain to tell that the node became slow, rather than that the call broke.
+const farLonger = 2
+
+// learnLeastLatency takes a call that ended without an answer after some time. Its
+// answer would have taken longer. Without this, a node that became so slow that its
+// callers give up would keep the latency that it had before.
+func (b *Balancer) learnLeastLatency(now time.Time, s *state, least time.Duration) {
+	if s.latency > 0 && least.Seconds() > farLonger*s.latency {
+		b.learnLatency(now, s, least)
 	}
-	s.latency += smoothing * (latency.Seconds() - s.latency)
 }
 
 func (b *Balancer) eject(now time.Time, s *state) {
--- a/balance/share.go
+++ b/balance/share.go
@@ -5,15 +5,16 @@
 	"time"
 )
 
-// share is the smoothed share of calls that ended in one way. It is forgotten
-// with time, so that a node that is avoided for it is tried again.
-type share struct {
+// Share is the smoothed share of calls that ended in one way. It is forgotten
+// with time, so that a node that is avoided for it is tried again. The zero value
+// is a share of 0. It is not safe for concurrent use.
+type Share struct {
 	value float64
 	since time.Time // when value was brought up to date
 }
 
-// at returns the share as it is believed now.
-func (s *share) at(now time.Time, halfLife time.Duration) float64 {
+// At returns the share as it is believed now, 0 to 1.
+func (s *Share) At(now time.Time, halfLife time.Duration) float64 {
 	if s.value == 0 {
 		return 0
 	}
@@ -25,9 +26,9 @@
 	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
 
-// learn takes the end of one call.
-func (s *share) learn(now time.Time, halfLife time.Duration, counts bool) {
-	value := s.at(now, halfLife)
+// Learn takes the end of one call, which counts or does not.
+func (s *Share) Learn(now time.Time, halfLife time.Duration, counts bool) {
+	value := s.At(now, halfLife)
 	target := 0.0
 	if counts {
 		target = 1
--- a/balance/zone.go
+++ b/balance/zone.go
@@ -105,13 +105,12 @@
 }
 
 // keepsCalls reports whether a node may keep the calls of its zone: it has shown its
-// load, is past its start, neither fails nor refuses, and is not far slower than
-// the fastest. One that takes calls for the first time shares them with all.
+// load, neither fails nor refuses, and is not far slower than the fastest. One that
+// takes calls for the first time shares them with all.
 func (b *Balancer) keepsCalls(now time.Time, s *state, fastest float64) bool {
 	return s.load.known &&
-		now.Sub(s.target.Since) >= b.config.WarmUp &&
-		s.faults.at(now, b.config.FaultHalfLife) < mostFaults &&
-		s.refusals.at(now, b.config.RefusalHalfLife) < mostRefusals &&
+		b.faultsOf(now, s) < mostFaults &&
+		s.refusals.At(now, b.config.RefusalHalfLife) < mostRefusals &&
 		s.latency <= mostSlower*max(fastest, minimumLatency)
 }
 
--- a/event/events.go
+++ b/event/events.go
@@ -64,6 +64,7 @@
 	AttemptRepeated     Number = 412
 	GateMoved           Number = 413
 	AnsweredWithFailure Number = 414
+	LoadNotUnderstood   Number = 415
 )
 
 // Events of at-most-once claims.
@@ -128,6 +129,7 @@
 	{AttemptRepeated, "attempt-repeated", "info", "An attempt of a call failed and another one is made."},
 	{GateMoved, "gate-moved", "info", "The share of a route's requests that is admitted at this entry went below or above a half, or to all."},
 	{AnsweredWithFailure, "answered-with-failure", "info", "A back end answered with a status of 500 or more, which was passed on."},
+	{LoadNotUnderstood, "load-not-understood", "warn", "The back end beside this node told a load that makes no sense; it was ignored."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -262,10 +262,10 @@
 	if !w.arm.early {
 		priority = admission.MaximumPriority
 	}
-	target, found := b.Pick(w.Now(), path, priority, *tried)
+	target, found := b.Pick(w.Now(), balance.Need{Path: path, Priority: priority, Exclude: *tried})
 	if !found {
 		*tried = nil
-		target, found = b.Pick(w.Now(), path, priority, nil)
+		target, found = b.Pick(w.Now(), balance.Need{Path: path, Priority: priority})
 	}
 	if !found {
 		return nil, reply{refused: true, final: true}
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -77,8 +77,14 @@
 	ReleasePlace func()
 }
 
-// NotePressure records the pressure that an attempt met.
-func (c *Call) NotePressure(pressure float64) { c.Pressure = max(c.Pressure, pressure) }
+// NotePressure records the pressure that an attempt of a call to another process met,
+// for the call and for the request whose back end makes it.
+func (c *Call) NotePressure(pressure float64) {
+	c.Pressure = max(c.Pressure, pressure)
+	if c.Execution != nil {
+		c.Execution.NotePressure(pressure)
+	}
+}
 
 // Committed reports whether other services have worked for the user request
 // already, so that their work is lost when the call is refused.
@@ -95,6 +101,14 @@
 	Leaving bool
 	// Replayed is true when this is the stored answer of an earlier run.
 	Replayed bool
+	// Inherited is true when the answer is a failure that follows from a failed call
+	// of the callee's back end, and says nothing about that back end.
+	Inherited bool
+}
+
+// Failed reports whether the answer tells of a failure. No answer does not.
+func (a *Answer) Failed() bool {
+	return a != nil && a.StatusCode >= http.StatusInternalServerError
 }
 
 // Body is a request body. Small bodies of known length are read into memory
--- a/kernel/execution.go
+++ b/kernel/execution.go
@@ -31,6 +31,7 @@
 	waited   time.Duration
 	level    int
 	pressure float64
+	failed   bool // a call of the back end failed
 	ordinals map[uint64]int
 }
 
@@ -86,6 +87,20 @@
 	return e.pressure
 }
 
+// NoteCallFailed records that a call that the back end made has failed.
+func (e *Execution) NoteCallFailed() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.failed = true
+}
+
+// CallFailed reports whether a call that the back end made has failed.
+func (e *Execution) CallFailed() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.failed
+}
+
 // Level returns the highest level that was noted.
 func (e *Execution) Level() int {
 	e.mutex.Lock()
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -67,9 +67,10 @@
 	return true
 }
 
-// Stop ends the process in order: it announces that it leaves and still takes
-// requests for the announce time, then refuses new ones and waits for those in
-// flight, then ends. It implements transport.Server of kratos.
+// Stop ends the process in order: it says that it is not ready and still takes requests
+// for the announce time, near the end of which it tells its peers that it leaves, then
+// refuses new ones and waits for those in flight, then ends. It implements
+// transport.Server of kratos.
 func (p *Process) Stop(ctx context.Context) error {
 	p.stopOnce.Do(func() { p.stop(ctx) })
 	return nil
@@ -78,7 +79,6 @@
 func (p *Process) stop(ctx context.Context) {
 	p.leaving.Store(true)
 	p.Log.Emit(event.ProcessDraining, "id", p.ID, "in_flight", p.inFlight.Load())
-	_ = p.Loop.Do(ctx, func(time.Time) { p.Mesh.SetState(true, false) })
 	p.waitAnnounced(ctx)
 	p.draining.Store(true)
 	if !p.waitIdle(ctx) {
@@ -94,11 +94,25 @@
 // drainHookTimeout bounds what plug-ins do before the process refuses requests.
 const drainHookTimeout = 5 * time.Second
 
-// waitAnnounced waits for the announce time and for the plug-ins that hand
-// something over.
+// peerNotice is how long before it refuses requests a stopping process tells its peers.
+// Gossip reaches all of a mesh of hundreds well within it. Callers that look at
+// readiness need longer to go elsewhere; if peers avoided the process as long, its back
+// end, which stays, would stand idle for seconds at each restart.
+const peerNotice = time.Second
+
+// announce tells the peers that the process leaves.
+func (p *Process) announce(ctx context.Context) {
+	p.announced.Store(true)
+	_ = p.Loop.Do(ctx, func(time.Time) { p.Mesh.SetState(true, false) })
+}
+
+// waitAnnounced waits for the announce time, tells the peers in time, and waits for the
+// plug-ins that hand something over.
 func (p *Process) waitAnnounced(ctx context.Context) {
 	announce, _ := p.Settings.StopTimes()
-	announced := time.NewTimer(announce)
+	Pause(ctx, announce-peerNotice)
+	p.announce(ctx)
+	announced := time.NewTimer(min(announce, peerNotice))
 	defer announced.Stop()
 	hooks, cancel := context.WithTimeout(ctx, max(drainHookTimeout, announce))
 	defer cancel()
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -41,6 +41,9 @@
 	// MachineState is what the machine list last said, nil before that and in
 	// processes that do not poll it.
 	MachineState atomic.Pointer[MachineState]
+	// BackEndLoad is what the back end beside this process last told of its load, nil
+	// when it has told nothing.
+	BackEndLoad atomic.Pointer[ToldLoad]
 	// Documents and Mesh are set during set-up by plug-ins.
 	Documents Documents
 	Mesh      Mesh
@@ -51,6 +54,7 @@
 	inFlight   atomic.Int64
 	ready      atomic.Bool
 	leaving    atomic.Bool
+	announced  atomic.Bool
 	draining   atomic.Bool
 	executions *Executions
 	splits     splitCounters
@@ -73,6 +77,12 @@
 	stopped    chan struct{}
 }
 
+// ToldLoad is the load that a back end told, and when.
+type ToldLoad struct {
+	wire.BackEndLoad
+	At time.Time
+}
+
 // MachineState is one reading of the machine list.
 type MachineState struct {
 	At       time.Time
@@ -182,6 +192,8 @@
 	// Load is the number of requests that the back end works on or that wait, as a
 	// share of those that it works on at a time.
 	Load float64
+	// Faults is the share of requests that the back end failed by itself lately.
+	Faults float64
 }
 
 // SetOccupancy sets the function that returns how busy the back end is.
@@ -210,6 +222,10 @@
 // Leaving reports whether the process was told to stop.
 func (p *Process) Leaving() bool { return p.leaving.Load() }
 
+// Announced reports whether a process that was told to stop has told its peers that it
+// leaves. Until then they go on sending calls for its back end.
+func (p *Process) Announced() bool { return p.announced.Load() }
+
 // Draining reports whether the process refuses new requests.
 func (p *Process) Draining() bool { return p.draining.Load() }
 
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -36,10 +36,14 @@
 			defer p.executions.remove(call.Execution)
 		}
 		answer, err = chain.Handle(call)
+		if !call.Inbound && call.Execution != nil && (err != nil || answer.Failed()) {
+			call.Execution.NoteCallFailed()
+		}
 	}
 	defer func() { p.Counters.observe(direction, err, time.Since(started)) }()
 	if call != nil && call.Inbound {
-		p.addReport(w.Header(), call)
+		p.addReport(w.Header(), call, answer)
+		w.Header()["Date"] = nil // the process that answers the caller adds it
 	}
 	behind := beginAnswer(r)
 	if p.Leaving() && !behind {
@@ -50,7 +54,7 @@
 	}
 	if err != nil {
 		p.logEnd(r, call, direction, err, time.Since(started))
-		result.From(err).WriteHTTP(w)
+		p.advise(call, err).WriteHTTP(w)
 		return
 	}
 	defer answer.Body.Close()
--- /dev/null
+++ b/plugin/admission/faults.go
@@ -0,0 +1,49 @@
+package admission
+
+import (
+	"sync"
+	"time"
+
+	"github.com/loomcleat/loomcleat/balance"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+)
+
+// faultsHalfLife is how fast the faults of the back end are forgotten when it gets no
+// requests. It is that of the balancers which are told of them.
+const faultsHalfLife = 2 * time.Second
+
+// faults is the share of requests that the back end failed by itself lately.
+type faults struct {
+	mutex sync.Mutex
+	share balance.Share
+}
+
+func (f *faults) learn(now time.Time, failed bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.share.Learn(now, faultsHalfLife, failed)
+}
+
+func (f *faults) at(now time.Time) float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.share.At(now, faultsHalfLife)
+}
+
+// isFault reports whether an error of a request that was handed to the back end is the
+// back end's own fault: its answer was lost or is none.
+func isFault(err error) bool {
+	switch result.From(err).Code {
+	case result.ConnectionLost, result.AnswerMismatch:
+		return true
+	default:
+		return false
+	}
+}
+
+// isOwnFailure reports whether an answer is a failure of the back end itself, rather
+// than one that follows from a call of its own.
+func isOwnFailure(call *kernel.Call, answer *kernel.Answer) bool {
+	return answer.Failed() && !call.Execution.CallFailed()
+}
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -43,6 +43,7 @@
 	process    *kernel.Process
 	controller *admission.Controller
 	bounds     bounds
+	faults     faults
 	mutex      sync.Mutex
 	overloaded atomic.Bool
 }
@@ -62,7 +63,23 @@
 		p.process.Log.Emit(event.AdmissionLevelSet, "overloaded", overloaded, "level", level)
 	}
 	load := float64(state.InFlight+state.Waiting) / float64(max(state.Limit, 1))
-	return kernel.Occupancy{Level: level, Load: load}
+	load = max(load, p.toldLoad(now))
+	return kernel.Occupancy{Level: level, Load: load, Faults: p.faults.at(now)}
+}
+
+// toldLoadAge is how long what the back end told of its load is believed. It comes with
+// every answer, so that an older one is of a back end that does not answer.
+const toldLoadAge = 500 * time.Millisecond
+
+// toldLoad is the load that the back end told of itself, 0 when it has not lately. It
+// counts beside what this node has handed to it: a request that was given up may hold a
+// slot still.
+func (p *plugin) toldLoad(now time.Time) float64 {
+	told := p.process.BackEndLoad.Load()
+	if told == nil || now.Sub(told.At) > toldLoadAge {
+		return 0
+	}
+	return told.Share()
 }
 
 func (p *plugin) fillStatus(status *wire.Status) {
@@ -224,6 +241,14 @@
 	})
 }
 
+// noteEnd records whether the back end failed the request by itself. One that the
+// caller gave up says nothing.
+func (s *place) noteEnd(failed bool) {
+	if s.call.Context.Err() == nil {
+		s.plugin.faults.learn(time.Now(), failed)
+	}
+}
+
 // run passes the call on and gives the place back when the answer has been
 // read.
 func (p *plugin) run(next kernel.Handler, call *kernel.Call, ticket *admission.Ticket) (*kernel.Answer, error) {
@@ -232,11 +257,14 @@
 	answer, err := next.Handle(call)
 	if err != nil {
 		taken.release(false, result.From(err).Code == result.DeadlineExceeded)
+		if isFault(err) {
+			p.faults.learn(time.Now(), true)
+		}
 		return nil, err
 	}
 	// A back end that refuses answers fast; that time says nothing about it.
 	refused := answer.StatusCode == 503 || answer.StatusCode == 429
-	answer.Body = &placeBody{ReadCloser: answer.Body, place: taken, refused: refused}
+	answer.Body = &placeBody{ReadCloser: answer.Body, place: taken, refused: refused, failed: isOwnFailure(call, answer)}
 	return answer, nil
 }
 
@@ -245,13 +273,18 @@
 	io.ReadCloser
 	place   *place
 	refused bool
+	failed  bool // the answer tells of a failure of the back end itself
+	ended   bool
 }
 
 // Read implements io.Reader.
 func (b *placeBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
-	if err != nil {
-		b.place.release(b.refused, err == io.EOF)
+	if err != nil && !b.ended {
+		b.ended = true
+		whole := err == io.EOF
+		b.place.release(b.refused, whole)
+		b.place.noteEnd(b.failed || !whole)
 	}
 	return n, err
 }
--- a/plugin/admission/setup_test.go
+++ b/plugin/admission/setup_test.go
@@ -9,6 +9,7 @@
 	"github.com/loomcleat/loomcleat/admission"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/wire"
 )
 
 // TestLoadIsWhatRunsAndWaits as a share of the places, above 1 when requests wait.
@@ -27,3 +28,32 @@
 		}
 	}
 }
+
+// TestTheToldLoadCounts beside what the node has handed over, while it is fresh.
+func TestTheToldLoadCounts(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name    string
+		running int
+		age     time.Duration
+		want    float64
+	}{
+		{"more than was handed over", 3, 0, 0.75},
+		{"less than was handed over", 1, 0, 0.5},
+		{"old", 4, time.Minute, 0.5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &plugin{
+				process:    &kernel.Process{Log: event.Discard()},
+				controller: admission.NewController(now, admission.Config{MinimumLimit: 4, MaximumLimit: 4}),
+			}
+			for range 2 {
+				p.controller.Ask(now, admission.Request{}, func(admission.Verdict) {})
+			}
+			p.process.BackEndLoad.Store(&kernel.ToldLoad{BackEndLoad: wire.BackEndLoad{Running: c.running, Slots: 4}, At: now.Add(-c.age)})
+			is.Equal(p.occupancy(now).Load, c.want)
+		})
+	}
+}
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -73,12 +73,29 @@
 		_ = response.Body.Close() // unread, so that the connection is closed
 		return nil, result.New(result.AnswerMismatch, "the back end answered another request")
 	}
+	f.noteLoad(response.Header)
 	// What a back end says about outcomes inside the mesh does not count: it
 	// may pass on the refusal of a call of its own, and it did run itself.
 	wire.RemoveInternal(response.Header)
 	return &kernel.Answer{Response: response}, nil
 }
 
+// noteLoad takes what the back end tells of its load.
+func (f *forward) noteLoad(header http.Header) {
+	if f.process.Dialect.ReadLoad == nil {
+		return
+	}
+	load, err := f.process.Dialect.ReadLoad(header)
+	if err != nil {
+		f.process.Counters.LoadsNotUnderstood.Add(1)
+		f.process.Log.Emit(event.LoadNotUnderstood, "backend", f.process.Settings.Backend, "error", err)
+		return
+	}
+	if load != nil {
+		f.process.BackEndLoad.Store(&kernel.ToldLoad{BackEndLoad: *load, At: time.Now()})
+	}
+}
+
 // expect names the incarnation that may run the call. It is looked up once more
 // here, since the back end may have left while the call waited for a place.
 func (f *forward) expect(call *kernel.Call) (instance string, err error) {
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -80,7 +80,7 @@
 // SetState implements kernel.Mesh. A process that was told to stop stays
 // leaving.
 func (m *mesh) SetState(leaving, down bool) {
-	m.machine.SetState(leaving || m.process.Leaving(), down)
+	m.machine.SetState(leaving || m.process.Announced(), down)
 }
 
 // SetPlaces implements kernel.Mesh.
--- a/plugin/once/capture.go
+++ b/plugin/once/capture.go
@@ -9,7 +9,6 @@
 	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
-	"github.com/loomcleat/loomcleat/wire"
 )
 
 // captureLimit is the size up to which answers are kept, in bytes. Longer ones
@@ -97,7 +96,6 @@
 	for name, values := range stored.Header {
 		header[name] = append([]string{}, values...)
 	}
-	header.Set(wire.HeaderReplayed, "1")
 	return &kernel.Answer{
 		Replayed: true,
 		Response: &http.Response{
--- a/plugin/retry/limiter.go
+++ b/plugin/retry/limiter.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomcleat/loomcleat/admission"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/retrybudget"
@@ -122,7 +123,8 @@
 	processes := max(len(*l.process.Members.Load()), leastProcesses)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.budget(call).Spend(now, processes)
+	rank := float64(call.Priority) / admission.MaximumPriority
+	return l.budget(call).Spend(now, processes, rank)
 }
 
 // budget returns the budget of the call's service. The mutex is held.
--- a/plugin/retry/setup.go
+++ b/plugin/retry/setup.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
@@ -29,13 +30,20 @@
 func (r *retrier) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
 		r.limiter.begin(call)
-		ran := false // an attempt may have run
+		ran := false    // an attempt may have run
+		absent := false // a node of this round was not there
 		for offers := 1; ; offers++ {
 			answer, err := next.Handle(call)
 			outcome := judge(answer, err)
 			ran = ran || (outcome != notRun && outcome != notRunFinal)
+			absent = absent || isAbsent(err)
 			if !r.mayRepeat(call, outcome, err, offers) {
-				return answer, withRan(err, ran)
+				if !absent || !r.mayWait(call, outcome) {
+					notePressure(call, err)
+					return answer, withRan(err, ran)
+				}
+				kernel.Pause(call.Context, absencePause)
+				offers, absent, call.Tried = 0, false, nil
 			}
 			if answer != nil {
 				discard(answer)
@@ -46,6 +54,44 @@
 	})
 }
 
+// absencePause is the time between two rounds of offers of a call while nodes are not
+// there. One that is started again is back within a second, and gossip tells of it
+// within some hundred milliseconds.
+const absencePause = 50 * time.Millisecond
+
+// isAbsent reports whether a node was not there, or not ready, for a moment: it is
+// being started again, or its back end is.
+func isAbsent(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch result.From(err).Code {
+	case result.NodeRefused, result.Draining, result.NotReady, result.BackendLeft, result.BackendUnreachable, result.NoNode:
+		return true
+	default:
+		return false
+	}
+}
+
+// mayWait reports whether a call that no node has taken may be offered once more after a
+// pause: other services have worked for its user request, and it has time.
+func (r *retrier) mayWait(call *kernel.Call, seen outcome) bool {
+	notTaken := seen == notRun || seen == notRunFinal
+	return notTaken && call.Committed() && call.Body.Replayable() && call.Context.Err() == nil &&
+		time.Until(call.Deadline) > absencePause+leastTimeElsewhere
+}
+
+// turnedAwayPressure is the pressure of a call that back ends turned away, and for
+// which there is no other attempt. It is that of a refusal beside a back end
+// (plugin admission): what is admitted for such a service is not finished.
+const turnedAwayPressure = 4
+
+func notePressure(call *kernel.Call, err error) {
+	if err != nil && result.From(err).Code == result.BackendRefused {
+		call.NotePressure(turnedAwayPressure)
+	}
+}
+
 // outcome is what an attempt tells about the next one.
 type outcome int
 
@@ -91,8 +137,13 @@
 // does not run it again. An answer of the back end itself is final for it.
 func (r *retrier) mayRepeat(call *kernel.Call, seen outcome, err error, offers int) bool {
 	switch seen {
-	case final, notRunFinal:
+	case final:
 		return false
+	case notRunFinal:
+		if !tooSlowThere(call, err) {
+			return false
+		}
+		seen = notRun
 	case unclear:
 		if !call.Policy.Repeatable && (err == nil || !r.process.Settings.Claims) {
 			return false
@@ -104,6 +155,17 @@
 	return r.limiter.repeat(call, seen, err, offers)
 }
 
+// leastTimeElsewhere is the time that must be left for another node to be tried after
+// one whose back end was too slow for the time left. Calls of a few hops need some
+// milliseconds on the way alone.
+const leastTimeElsewhere = 20 * time.Millisecond
+
+// tooSlowThere reports whether a node refused a call since its back end is too slow for
+// the time that is left, which another one may not be.
+func tooSlowThere(call *kernel.Call, err error) bool {
+	return result.From(err).Code == result.DeadlineTooShort && time.Until(call.Deadline) > leastTimeElsewhere
+}
+
 // withRan marks the error of a request of which an attempt may have run, so
 // that it is not reported as not run.
 func withRan(err error, ran bool) error {
--- a/plugin/routing/answer.go
+++ b/plugin/routing/answer.go
@@ -17,64 +17,50 @@
 // read takes the report out of a node's answer. Refusals of the node become
 // errors again.
 func (r *router) read(call *kernel.Call, balancer *balance.Balancer, target balance.Target, response *http.Response, loan int) (*kernel.Answer, error) {
-	header := response.Header
-	if header.Get(wire.HeaderAttempt) != call.Attempt {
+	report := wire.ReadReport(response.Header)
+	if report.Attempt != call.Attempt {
 		_ = response.Body.Close() // unread, so that the connection is closed
 		r.process.Log.Emit(event.AnswerMismatch, "node", target.ID)
 		return nil, result.New(result.AnswerMismatch, "node %s answered another request", target.ID)
 	}
-	notePressure(call, header)
-	noteLoad(balancer, target, header)
-	answer := &kernel.Answer{
-		Response: response,
-		Unspent:  intHeader(header, wire.HeaderUnspent),
-		Level:    intHeader(header, wire.HeaderLevel),
-		Leaving:  header.Get(wire.HeaderLeaving) != "",
-		Replayed: header.Get(wire.HeaderReplayed) != "",
-	}
-	call.Budget.Repay(loan, answer.Unspent)
-	now := time.Now()
-	balancer.SetLevel(now, target.ID, call.Policy.Path, answer.Level)
-	if answer.Level > 0 {
-		noteLevel(call, balancer.Level(now, call.Policy.Path))
-	}
-	if header.Get(result.HeaderCode) != "" {
+	learn(call, balancer, target, &report)
+	call.Budget.Repay(loan, report.Unspent)
+	if response.Header.Get(result.HeaderCode) != "" {
 		defer response.Body.Close()
 		return nil, refusalOf(response)
 	}
-	wire.RemoveInternal(header)
-	return answer, nil
+	wire.RemoveInternal(response.Header)
+	return &kernel.Answer{
+		Response:  response,
+		Unspent:   report.Unspent,
+		Level:     report.Level,
+		Leaving:   report.Leaving,
+		Replayed:  report.Replayed,
+		Inherited: report.Inherited,
+	}, nil
 }
 
-// notePressure takes the pressure that an attempt met.
-func notePressure(call *kernel.Call, header http.Header) {
-	pressure, err := strconv.ParseFloat(header.Get(wire.HeaderPressure), 64)
-	if err != nil {
-		return
+// learn takes what a node's answer tells of the node and of the way there.
+func learn(call *kernel.Call, balancer *balance.Balancer, target balance.Target, report *wire.Report) {
+	now := time.Now()
+	call.NotePressure(float64(report.PressurePercent) / percent)
+	if report.LoadKnown {
+		balancer.SetLoad(now, target.ID, float64(report.LoadPercent)/percent)
 	}
-	addPressure(call, pressure)
-}
-
-// noteLoad takes the load that the node has shown, if it has.
-func noteLoad(balancer *balance.Balancer, target balance.Target, header http.Header) {
-	percent, err := strconv.Atoi(header.Get(wire.HeaderLoad))
-	if err != nil {
-		return
+	balancer.SetFaults(now, target.ID, float64(report.FaultPercent)/percent)
+	balancer.SetLevel(now, target.ID, call.Policy.Path, report.Level)
+	if report.Level > 0 {
+		noteLevel(call, balancer.Level(now, call.Policy.Path))
 	}
-	balancer.SetLoad(time.Now(), target.ID, float64(percent)/100)
 }
 
+// percent is the number of percent in a whole.
+const percent = 100
+
 // timeoutPressure is the pressure of an attempt that was not answered in time:
 // whoever might have told how long it waited did not get to it.
 const timeoutPressure = 3
 
-func addPressure(call *kernel.Call, pressure float64) {
-	call.NotePressure(pressure)
-	if call.Execution != nil {
-		call.Execution.NotePressure(pressure)
-	}
-}
-
 func intHeader(header http.Header, name string) int {
 	value, err := strconv.Atoi(header.Get(name))
 	if err != nil {
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/loomcleat/loomcleat/balance"
@@ -39,7 +38,7 @@
 			call.Budget.Repay(loan, loan) // the loan never left this process
 		}
 		if result.From(err).Code == result.DeadlineExceeded {
-			addPressure(call, timeoutPressure)
+			call.NotePressure(timeoutPressure)
 		}
 		finish(outcomeOf(call, err))
 		return nil, err
@@ -49,7 +48,7 @@
 		finish(outcomeOf(call, err))
 		return nil, err
 	}
-	answer.Body = &attemptBody{ReadCloser: answer.Body, finish: finish, whole: outcomeOfStatus(answer.StatusCode)}
+	answer.Body = &attemptBody{ReadCloser: answer.Body, finish: finish, whole: outcomeOfAnswer(answer)}
 	return answer, nil
 }
 
@@ -101,36 +100,32 @@
 	return balance.Failed
 }
 
-// outcomeOfStatus is the outcome of a whole answer of a back end.
-func outcomeOfStatus(status int) balance.Outcome {
-	if status >= http.StatusInternalServerError {
+// outcomeOfAnswer is the outcome of a whole answer of a back end.
+func outcomeOfAnswer(answer *kernel.Answer) balance.Outcome {
+	if answer.Failed() && !answer.Inherited {
 		return balance.Faulty
 	}
 	return balance.Answered
 }
 
-// header builds the headers of an attempt. What is 0 is left out.
+// header builds the headers of an attempt.
 func (r *router) header(call *kernel.Call, loan int, now time.Time) http.Header {
-	header := call.Header.Clone()
-	header[wire.HeaderService] = []string{call.Service}
-	header[wire.HeaderRequest] = []string{call.Request}
-	header[wire.HeaderAttempt] = []string{call.Attempt}
-	header[wire.HeaderPriority] = []string{strconv.Itoa(call.Priority)}
-	header[wire.HeaderRemaining] = []string{strconv.FormatInt(call.Deadline.Sub(now).Microseconds(), 10)}
-	if loan > 0 {
-		header[wire.HeaderBudget] = []string{strconv.Itoa(loan)}
-	}
-	if call.Hops > 0 {
-		header[wire.HeaderHops] = []string{strconv.Itoa(call.Hops)}
-	}
-	if target := call.Policy.TargetLatency; target > 0 {
-		header[wire.HeaderTarget] = []string{strconv.FormatInt(target.Milliseconds(), 10)}
-	}
-	if call.Repeat {
-		header[wire.HeaderRepeat] = []string{"1"}
+	told := wire.CallContext{
+		Service:   call.Service,
+		Request:   call.Request,
+		Attempt:   call.Attempt,
+		Priority:  call.Priority,
+		Remaining: call.Deadline.Sub(now),
+		Budget:    loan,
+		Hops:      call.Hops,
+		Target:    call.Policy.TargetLatency,
+		Repeat:    call.Repeat,
 	}
 	if call.ClaimKey != (claims.Key{}) {
-		header[wire.HeaderClaimKey] = []string{call.ClaimKey.String()}
+		told.ClaimKey = call.ClaimKey.String()
 	}
+	header := call.Header.Clone()
+	delete(header, r.process.Dialect.Remaining) // the node sets it anew for its back end
+	told.Write(header)
 	return header
 }
--- a/plugin/routing/route.go
+++ b/plugin/routing/route.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/loomcleat/loomcleat/balance"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
 )
@@ -28,10 +29,11 @@
 	if call.Priority < level && !call.Committed() && !call.Routed {
 		return nil, result.New(result.ShedEarly, "a service on the call path admits only higher priorities now").WithRetryAfter(shedRetryAfter)
 	}
-	target, found := balancer.Pick(now, path, call.Priority, call.Tried)
+	need := balance.Need{Path: path, Priority: call.Priority, Exclude: call.Tried, Once: !call.Policy.Repeatable}
+	target, found := balancer.Pick(now, need)
 	if !found {
-		call.Tried = nil // all were tried: begin again
-		if target, found = balancer.Pick(now, path, call.Priority, nil); !found {
+		call.Tried, need.Exclude = nil, nil // all were tried: begin again
+		if target, found = balancer.Pick(now, need); !found {
 			return nil, r.noNode(call)
 		}
 	}
--- a/plugin/shed/setup.go
+++ b/plugin/shed/setup.go
@@ -5,7 +5,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -68,17 +67,16 @@
 			return next.Handle(call)
 		}
 		if share, admitted := s.admit(call); !admitted {
-			return nil, result.New(result.ShedEarly, "route %s admits a share of %.2f now", call.Policy.Path, share).WithRetryAfter(retryAfter)
+			return nil, result.New(result.ShedEarly, "route %s admits a share of %.2f now", call.Policy.Path, share).
+				WithRetryAfter(s.process.OverloadRetryAfter(call))
 		}
+		started := time.Now()
 		answer, err := next.Handle(call)
-		s.done(call, pressureOf(call, answer, err))
+		s.done(call, pressureOf(call, answer, err, time.Since(started)))
 		return answer, err
 	})
 }
 
-// retryAfter is the time after which a refused caller may come again.
-const retryAfter = time.Second
-
 // admit reports whether the call is admitted, and the share that is.
 func (s *shed) admit(call *kernel.Call) (share float64, admitted bool) {
 	now := time.Now()
@@ -86,7 +84,7 @@
 	defer s.mutex.Unlock()
 	found := s.route(call, now)
 	found.longest = max(found.longest, call.Patience)
-	admitted = found.gate.Admit(now, rank(found.longest, call.Patience))
+	admitted = found.gate.Admit(now, rank(found.longest-call.Patience, s.process.OverloadRetryAfter(call)))
 	return found.gate.Share(), admitted
 }
 
@@ -97,14 +95,25 @@
 // in which it worked a quarter of its time in vain.
 const wastedPressure = 10
 
-// pressureOf returns the pressure that a request met. A failure without pressure,
-// such as a lost answer, is none of overload.
-func pressureOf(call *kernel.Call, answer *kernel.Answer, err error) float64 {
-	failed := err != nil || answer.StatusCode >= http.StatusInternalServerError
-	if failed && call.Pressure > 1 {
+// objectiveShare is the part of a route's target latency that its requests may take on
+// average while they wait for places. More would leave too little for those that take
+// longer than others; less would leave places idle, and refuse requests that could have
+// been served in time.
+const objectiveShare = 0.7
+
+// pressureOf returns the pressure that a request met, which took a time. What was served
+// after waiting is measured by the objective of its route: a wait that the objective
+// bears is none. A failure without pressure, such as a lost answer, is none of overload.
+func pressureOf(call *kernel.Call, answer *kernel.Answer, err error, taken time.Duration) float64 {
+	waited := call.Pressure > 1
+	switch {
+	case waited && (err != nil || answer.Failed()):
 		return max(call.Pressure, wastedPressure)
+	case waited && call.Policy.TargetLatency > 0:
+		return taken.Seconds() / (objectiveShare * call.Policy.TargetLatency.Seconds())
+	default:
+		return call.Pressure
 	}
-	return call.Pressure
 }
 
 func (s *shed) done(call *kernel.Call, pressure float64) {
@@ -130,25 +139,30 @@
 	return found
 }
 
-// Ranks of requests that come again after a refusal, which is seen by the time
-// that they have left. One that came back when it was told to goes first; one
-// that did not wait goes last.
+// Ranks of requests that come again after a refusal, which is seen by the time that they
+// have spent. One that came back when it was told to goes before most first tries: a gate
+// that opens slowly after overload does not refuse it twice. It does not go before all of
+// them: under lasting overload, a route would serve returned requests only then. One that
+// did not wait goes last.
 const (
-	returnedRanks = 0.2
+	returnedRanks = 0.5
 	hastyRanks    = 0.6
 	hastyFrom     = 20 * time.Millisecond // less than this is a first try
+	// waitedShare of what a caller was told counts as having waited.
+	waitedShare = 0.9
 )
 
-// rank places a request among those of its route, from 0, the first, up to 1.
-func rank(longest, patience time.Duration) float64 {
+// rank places a request among those of its route, from 0, the first, up to 1. spent is
+// the time since its first try, and told the wait that a refused caller is told.
+func rank(spent, told time.Duration) float64 {
 	even := rand.Float64()
-	spent := longest - patience
+	waited := time.Duration(float64(told) * waitedShare)
 	switch {
-	case spent >= retryAfter*9/10:
-		return even * returnedRanks
-	case spent >= hastyFrom:
+	case spent < hastyFrom:
+		return even
+	case spent < waited:
 		return hastyRanks + even*(1-hastyRanks)
 	default:
-		return even
+		return even * returnedRanks
 	}
 }
--- a/policy/route.go
+++ b/policy/route.go
@@ -75,7 +75,7 @@
 	settings.Known = true
 	settings.Class = r.Class
 	settings.Repeatable = r.Repeatable
-	settings.RetryBudget = min(r.MaximumAttempts-1, MaximumRetryBudget)
+	settings.RetryBudget = r.retryBudget()
 	settings.MaximumAttempts = r.MaximumAttempts
 	if r.Timeout > 0 {
 		settings.Deadline = time.Duration(r.Timeout)
@@ -84,6 +84,18 @@
 	return settings
 }
 
+// graphRetries is the number of retries of one user request in its whole call graph
+// for each attempt that its route allows beyond the first. The attempts of a route
+// bound one call. A request of a route may need ten calls, and when one in five of
+// them loses its answer, hardly any comes through with a single retry for all of them.
+// What all requests together may retry is bounded apart (retrybudget.Shared).
+const graphRetries = 16
+
+// retryBudget returns the number of retries of a user request on the route.
+func (r *Route) retryBudget() int {
+	return min(max(r.MaximumAttempts-1, 0)*graphRetries, MaximumRetryBudget)
+}
+
 // routePathPrefix starts the Path of settings that come from a route, so that it
 // never equals a path of the tree.
 const routePathPrefix = "route:"
--- a/result/error.go
+++ b/result/error.go
@@ -16,7 +16,10 @@
 	Code       Code
 	Message    string
 	RetryAfter time.Duration // 0 when the caller is told nothing
-	Cause      error         // nil when there is none
+	// FractionalRetryAfter says that the caller understands fractions of a second in
+	// the Retry-After header. Others are told whole seconds, as HTTP has it.
+	FractionalRetryAfter bool
+	Cause                error // nil when there is none
 	// Ran is true when an earlier attempt of the same request may have run, so
 	// that the error must not be reported as not-run whatever its code says.
 	Ran bool
@@ -109,7 +112,7 @@
 }
 
 // WriteHTTP sends e as an HTTP response: numbered header, outcome header,
-// Retry-After in whole seconds (rounded up) and a small JSON body.
+// Retry-After and a small JSON body.
 func (e *Error) WriteHTTP(w http.ResponseWriter) {
 	definition := e.Code.Definition()
 	header := w.Header()
@@ -117,8 +120,7 @@
 	header.Set(HeaderOutcome, e.Outcome())
 	header.Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		header.Set("Retry-After", strconv.Itoa(seconds))
+		header.Set("Retry-After", e.retryAfterText())
 	}
 	body, err := json.Marshal(Body{Code: e.Code, Name: definition.Name, Message: e.Message, NotRun: e.NotRun()})
 	if err != nil {
@@ -128,3 +130,13 @@
 	w.WriteHeader(e.Status())
 	_, _ = w.Write(body)
 }
+
+// retryAfterText returns the value of the Retry-After header: whole seconds, rounded up,
+// or milliseconds as a fraction for callers that understand it.
+func (e *Error) retryAfterText() string {
+	seconds := e.RetryAfter.Seconds()
+	if e.FractionalRetryAfter {
+		return strconv.FormatFloat(seconds, 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(seconds)))
+}
--- a/retrybudget/shared.go
+++ b/retrybudget/shared.go
@@ -74,16 +74,26 @@
 // rounding is what products of fractions may lack of a whole number.
 const rounding = 1e-9
 
+// openShare is the part of the budget that any request may use. The rest is open to a
+// request by its rank. When a service turns much away, the budget is far smaller than
+// the demand; spread over all, it would complete hardly any request that needs several
+// repeats, and the urgent ones least, since they are often the larger ones. All
+// processes rank the same requests first. With half, the ranks that may use the rest
+// settle where demand fits, and single faults in calm times meet no limit.
+const openShare = 0.5
+
 // Spend records a repeated attempt if the bound leaves room for it, and reports
 // whether it does. processes is the number of processes that share the slack;
-// too high a number is safe, too low a one is not.
-func (s *Shared) Spend(now time.Time, processes int) bool {
+// too high a number is safe, too low a one is not. rank is that of the user request,
+// 0 to 1; the higher ones may use more of the budget.
+func (s *Shared) Spend(now time.Time, processes int, rank float64) bool {
 	requests, repeats := s.recent(now)
 	allowed := s.config.Ratio * ratioShare * float64(requests)
 	if now.Sub(s.started) >= s.config.Window {
 		allowed += float64(s.config.Slack) / float64(max(processes, 1))
 	}
-	if float64(repeats+1) > allowed+rounding {
+	ranked := allowed * (openShare + (1-openShare)*min(max(rank, 0), 1))
+	if float64(repeats+1) > max(ranked, min(allowed, 1))+rounding {
 		return false
 	}
 	s.Repeat(now)
--- a/wire/dialect.go
+++ b/wire/dialect.go
@@ -27,12 +27,33 @@
 	// NotRun is, on answers of back ends, the promise that the request was not
 	// run and will not be.
 	NotRun string
+	// FractionalRetryAfter says that callers understand fractions of a second in the
+	// Retry-After header.
+	FractionalRetryAfter bool
+	// ReadLoad reads what a back end tells of its load with an answer, nil when it
+	// tells nothing, an error when it makes no sense. Nil: back ends tell nothing.
+	ReadLoad func(header http.Header) (*BackEndLoad, error)
 	// ParentID guesses from the name of a request the name of the one that it
 	// was made for. Nil: requests do not show it. A guess only links requests
 	// that meet at one node; nothing may depend on it.
 	ParentID func(requestID string) (parentID string, ok bool)
 }
 
+// BackEndLoad is the load that a back end tells of itself. It may lag or mislead.
+type BackEndLoad struct {
+	Running int // requests that it works on
+	Waiting int // requests in its own queue
+	Slots   int // requests that it works on at a time
+}
+
+// Share returns what runs and waits as a share of the slots, 0 when they are not known.
+func (l BackEndLoad) Share() float64 {
+	if l.Slots <= 0 {
+		return 0
+	}
+	return float64(l.Running+l.Waiting) / float64(l.Slots)
+}
+
 // HasRequestID reports whether requests have names.
 func (d *Dialect) HasRequestID() bool { return d.RequestID != "" }
 
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -19,47 +19,12 @@
 	// HeaderContext is given to a back end with each request. The back end
 	// copies it to the calls it makes, as it does with traceparent.
 	HeaderContext = "Loomcleat-Context"
-	// HeaderRequest identifies the user request across the whole call graph.
-	HeaderRequest = "Loomcleat-Request"
-	// HeaderAttempt identifies one attempt of one call; the answer echoes it.
-	HeaderAttempt = "Loomcleat-Attempt"
-	// HeaderService names the service that the request is for.
-	HeaderService = "Loomcleat-Service"
-	// HeaderBudget is the number of retries lent with the request.
-	HeaderBudget = "Loomcleat-Budget"
-	// HeaderPriority is the priority of the user request, 0 to 1023.
-	HeaderPriority = "Loomcleat-Priority"
-	// HeaderRemaining is the time left for the request in microseconds.
-	HeaderRemaining = "Loomcleat-Remaining"
-	// HeaderClaimKey is the key under which the request may run at most once.
-	HeaderClaimKey = "Loomcleat-Claim-Key"
-	// HeaderHops is the number of calls above this one in the call graph.
-	HeaderHops = "Loomcleat-Hops"
-	// HeaderTarget is the target latency of the request's route in milliseconds.
-	HeaderTarget = "Loomcleat-Target"
-	// HeaderRepeat is "1" when this attempt, or one above it in the call graph,
-	// is not the first of its request.
-	HeaderRepeat = "Loomcleat-Repeat"
+	// HeaderCall holds the CallContext of a call from one process to another.
+	HeaderCall = "Loomcleat-Call"
 )
 
-// Headers on answers between processes.
-const (
-	// HeaderUnspent is the part of HeaderBudget that was not used.
-	HeaderUnspent = "Loomcleat-Unspent"
-	// HeaderLevel is the lowest priority that the node and everything it
-	// called for this request would admit now, 0 to 1024.
-	HeaderLevel = "Loomcleat-Level"
-	// HeaderPressure is the highest pressure that the request met at this node or
-	// below: time waited for a place as a multiple of what it should be.
-	HeaderPressure = "Loomcleat-Pressure"
-	// HeaderLoad is the load of the node: the requests that its back end works on or
-	// that wait, in percent of those that it works on at a time.
-	HeaderLoad = "Loomcleat-Load"
-	// HeaderLeaving is "1" when the answering node is stopping.
-	HeaderLeaving = "Loomcleat-Leaving"
-	// HeaderReplayed is "1" when the answer is the stored one of an earlier run.
-	HeaderReplayed = "Loomcleat-Replayed"
-)
+// HeaderReport holds, on answers between processes, the Report of the one that answers.
+const HeaderReport = "Loomcleat-Report"
 
 // HeaderIdempotencyKey is the caller's name for a request that may run at most
 // once (draft-ietf-httpapi-idempotency-key-header).
--- /dev/null
+++ b/wire/report.go
@@ -0,0 +1,91 @@
+package wire
+
+import "net/http"
+
+// Report is what a node tells the calling process with each answer.
+type Report struct {
+	// Attempt is that of the call's context.
+	Attempt string
+	// Unspent is the part of the lent retries that was not used.
+	Unspent int
+	// Level is the lowest priority that the node and everything it called for this
+	// request would admit now, 0 to 1024.
+	Level int
+	// PressurePercent is the highest pressure that the request met at this node or
+	// below: the time waited for a place, in percent of what it should be.
+	PressurePercent int
+	// LoadKnown says that the node has told its load.
+	LoadKnown bool
+	// LoadPercent is the load of the node: the requests that its back end works on or
+	// that wait, in percent of those that it works on at a time.
+	LoadPercent int
+	// FaultPercent is the share of requests that the back end failed by itself lately:
+	// lost or spoiled answers, and failures of its own.
+	FaultPercent int
+	// Inherited says that the answer is a failure of the back end after a call of its
+	// own had failed, so that it says nothing about the back end.
+	Inherited bool
+	// Leaving says that the answering node is stopping.
+	Leaving bool
+	// Replayed says that the answer is the stored one of an earlier run.
+	Replayed bool
+}
+
+// Names of the values of a Report, beside those of a CallContext.
+const (
+	nameUnspent   = "unspent"
+	nameLevel     = "level"
+	namePressure  = "pressure"
+	nameLoad      = "load"
+	nameFaults    = "faults"
+	nameInherited = "inherited"
+	nameLeaving   = "leaving"
+	nameReplayed  = "replayed"
+)
+
+// Write sets the header of the answer.
+func (r *Report) Write(header http.Header) {
+	list := newListWriter()
+	list.addText(nameAttempt, r.Attempt)
+	list.addNumber(nameUnspent, int64(r.Unspent))
+	list.addNumber(nameLevel, int64(r.Level))
+	list.addNumber(namePressure, int64(r.PressurePercent))
+	if r.LoadKnown {
+		// An idle node tells so, unlike one that has nothing to tell.
+		list.addNumber(nameLoad, int64(max(r.LoadPercent, 1)))
+	}
+	list.addNumber(nameFaults, int64(r.FaultPercent))
+	list.addFlag(nameInherited, r.Inherited)
+	list.addFlag(nameLeaving, r.Leaving)
+	list.addFlag(nameReplayed, r.Replayed)
+	header[HeaderReport] = []string{list.String()}
+}
+
+// ReadReport reads the header of an answer. What is missing or malformed is zero.
+func ReadReport(header http.Header) Report {
+	var r Report
+	readList(header.Get(HeaderReport), func(name, value string) {
+		switch name {
+		case nameAttempt:
+			r.Attempt = value
+		case nameUnspent:
+			r.Unspent = int(numberOf(value))
+		case nameLevel:
+			r.Level = int(numberOf(value))
+		case namePressure:
+			r.PressurePercent = int(numberOf(value))
+		case nameLoad:
+			r.LoadPercent = max(int(numberOf(value)), 0)
+			r.LoadKnown = r.LoadPercent > 0
+		case nameFaults:
+			r.FaultPercent = int(numberOf(value))
+		case nameInherited:
+			r.Inherited = value == "1"
+		case nameLeaving:
+			r.Leaving = value == "1"
+		case nameReplayed:
+			r.Replayed = value == "1"
+		}
+	})
+	return r
+}
