Calls wait for absent nodes only where offers cost no retry; a node that never answered is no fast one

Calls wait only under a shared budget, where a refused offer arrives nowhere and costs nothing; TestNoCallWaitsWhereOffersArePaidFor fails without it.

TestFailuresThatANodeTellsCountAgainstIt, refusals: a node that has only refused has no latency and was taken for one of 0.5 ms, so that beside nodes that take longer it got the first offer of every call, whatever it refused. On a quiet machine the good node of the test answers within 0.5 ms. Not new, and a real fault: now it is taken for half of a fast node's latency; TestANodeThatOnlyRefusesIsNoFastOne fails without it, with any speed of the machine.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -426,3 +426,24 @@
 	}
 	is.True(stayed > 900)
 }
+
+// TestANodeThatOnlyRefusesIsNoFastOne: it has never answered, so that nothing is known of
+// its latency.
+func TestANodeThatOnlyRefusesIsNoFastOne(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer("refuses", "b", "c")
+	now, refused := epoch.Add(time.Minute), 0
+	for range 1000 {
+		now = now.Add(5 * time.Millisecond)
+		target, found := b.Pick(now, Need{Path: "path"})
+		is.True(found)
+		if target.ID == "refuses" {
+			refused++
+			b.Done(now, target.ID, time.Millisecond, Refused)
+			continue
+		}
+		b.Done(now, target.ID, 200*time.Millisecond, Answered)
+	}
+	is.True(refused > 0)
+	is.True(refused < 200)
+}
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -14,6 +14,11 @@
 
 func (b *Balancer) cost(now time.Time, s *state) float64 {
 	latency := max(s.latency*decay(now.Sub(s.learnedAt), b.config.LatencyHalfLife), minimumLatency)
+	if s.latency == 0 {
+		// It has not answered yet. Taken for far faster than all others, one that
+		// only refuses would get the first offer of every call.
+		latency = max(unknownShare*b.fastLatency(now), minimumLatency)
+	}
 	switch {
 	case s.target.Region != b.config.Region:
 		latency += b.config.RegionCost.Seconds()
@@ -34,6 +39,9 @@
 }
 
 const (
+	// unknownShare is the part of a fast node's latency that one which has not
+	// answered yet is taken to have, so that it is tried.
+	unknownShare = 0.5
 	// faultWeight is how much more a failed call costs than a refused one, which
 	// is offered to another node at no loss: a failed one needs a retry, of which
 	// there are few, or is lost.
--- a/plugin/retry/limiter.go
+++ b/plugin/retry/limiter.go
@@ -17,6 +17,9 @@
 	// repeat reports whether there may be another attempt after the given number
 	// of them, and records it.
 	repeat(call *kernel.Call, seen outcome, err error, offers int) bool
+	// offersAreFree reports whether an offer that a node refuses costs nothing, so that
+	// a call may be offered again after a pause.
+	offersAreFree() bool
 }
 
 func newLimiter(process *kernel.Process) limiter {
@@ -55,6 +58,10 @@
 	return l.ratio(call, now).Retry(now)
 }
 
+// offersAreFree implements limiter: each attempt after the first is a retry of the user
+// request, whose number is bounded over its whole call graph.
+func (l *ratioLimiter) offersAreFree() bool { return false }
+
 // ratio returns the bucket of the call's service. The mutex is held.
 func (l *ratioLimiter) ratio(call *kernel.Call, now time.Time) *retrybudget.Ratio {
 	bucket, exists := l.ratios[call.Service]
@@ -117,6 +124,9 @@
 	return true
 }
 
+// offersAreFree implements limiter.
+func (l *sharedLimiter) offersAreFree() bool { return true }
+
 // spend takes one repeated attempt from the budget of the call's service.
 func (l *sharedLimiter) spend(call *kernel.Call) bool {
 	now := time.Now()
--- a/plugin/retry/retry_test.go
+++ b/plugin/retry/retry_test.go
@@ -152,3 +152,23 @@
 		})
 	}
 }
+
+// TestNoCallWaitsWhereOffersArePaidFor: the retries of a user request are bounded over its
+// whole call graph there, and rounds of offers would come on top of them.
+func TestNoCallWaitsWhereOffersArePaidFor(t *testing.T) {
+	is := is.New(t)
+	process := &kernel.Process{Settings: settings.Default(settings.RoleNode), Log: event.Discard()}
+	r := &retrier{process: process, limiter: newLimiter(process)}
+	const budget = 2
+	made := 0
+	handler := r.middleware(kernel.HandlerFunc(func(*kernel.Call) (*kernel.Answer, error) {
+		made++
+		return nil, result.New(result.NodeRefused, "test")
+	}))
+	_, err := handler.Handle(&kernel.Call{
+		Context: context.Background(), Body: kernel.NewBufferedBody(nil), Budget: retrybudget.Open(budget),
+		Deadline: time.Now().Add(time.Second), Hops: 1, Policy: policy.Effective{Repeatable: true, RetryRatio: 1},
+	})
+	is.True(err != nil)
+	is.True(made <= 1+budget)
+}
--- a/plugin/retry/setup.go
+++ b/plugin/retry/setup.go
@@ -81,10 +81,11 @@
 }
 
 // mayWait reports whether a call that no node has taken may be offered once more after a
-// pause: other services have worked for its user request, and it has time.
+// pause: other services have worked for its user request, it has time, and the offer is
+// no retry that must be paid for.
 func (r *retrier) mayWait(call *kernel.Call, seen outcome) bool {
 	notTaken := seen == notRun || seen == notRunFinal
-	return notTaken && call.Committed() && call.Body.Replayable() && call.Context.Err() == nil &&
+	return notTaken && r.limiter.offersAreFree() && call.Committed() && call.Body.Replayable() && call.Context.Err() == nil &&
 		time.Until(call.Deadline) > absencePause+leastTimeElsewhere
 }
 
