Told faults are a Share, percent stays on the wire, one half-life of faults

- balance: toldShare was Share written again, decay included; Share.At serves both.
The latency that is believed is computed in one place (believedLatency); cost computed one and threw it away for a node that has not answered.
- admission: the half-life of faults was a copy of the balancers' default; it is balance.DefaultFaultHalfLife.
- wire.Report holds shares, and turns them into whole percent itself; kernel and routing each did it, with a constant of their own.
What goes over the wire is the same, and rounds down as before.
- membership: the comment of SetState said what it did before stops were announced late.
The round trip of a Report names the same values as shares.

Looked at and left: CallContext and Report are read by switches of one shape over different fields; a table for both would be no simpler.

Ruled out: a change of what is measured.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,7 +40,7 @@
 	learnedAt    time.Time // when latency last changed
 	failures     int       // in a row
 	faults       Share     // of calls that failed
-	told         toldShare // of requests that the back end failed, by its node
+	told         Share     // of requests that the back end failed, by its node
 	refusals     Share     // of calls that were refused
 	ejections    int       // in a row
 	ejectedUntil time.Time
--- a/balance/config.go
+++ b/balance/config.go
@@ -67,13 +67,17 @@
 	OnEject func(target Target, ejected bool)
 }
 
+// DefaultFaultHalfLife is that of Config.FaultHalfLife. Nodes forget the faults of their
+// back ends as fast, since balancers are told of them.
+const DefaultFaultHalfLife = 2 * time.Second
+
 func (c *Config) setDefaults() {
 	setDuration(&c.ZoneCost, 500*time.Microsecond)
 	setDuration(&c.RegionCost, 20*time.Millisecond)
 	setDuration(&c.WarmUp, 2*time.Second)
 	setDuration(&c.EjectTime, time.Second)
 	setDuration(&c.MaximumEjectTime, 10*time.Second)
-	setDuration(&c.FaultHalfLife, 2*time.Second)
+	setDuration(&c.FaultHalfLife, DefaultFaultHalfLife)
 	setDuration(&c.RefusalHalfLife, 500*time.Millisecond)
 	setDuration(&c.LatencyHalfLife, 2*time.Second)
 	setDuration(&c.LoadHalfLife, time.Second)
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -13,12 +13,7 @@
 const minimumLatency = 0.0005
 
 func (b *Balancer) cost(now time.Time, s *state) float64 {
-	latency := max(s.latency*decay(now.Sub(s.learnedAt), b.config.LatencyHalfLife), minimumLatency)
-	if s.latency == 0 {
-		// It has not answered yet. Taken for far faster than all others, one that
-		// only refuses would get the first offer of every call.
-		latency = max(unknownShare*b.fastLatency(now), minimumLatency)
-	}
+	latency := max(b.believedLatency(now, s), minimumLatency)
 	switch {
 	case s.target.Region != b.config.Region:
 		latency += b.config.RegionCost.Seconds()
@@ -38,6 +33,16 @@
 	return cost / max(served*math.Pow(sound, faultWeight), leastYield)
 }
 
+// believedLatency returns the latency of a node as it is believed now, in seconds. One
+// that has not answered yet is taken for half as slow as a fast one: taken for far
+// faster than all others, one that only refuses would get the first offer of every call.
+func (b *Balancer) believedLatency(now time.Time, s *state) float64 {
+	if s.latency == 0 {
+		return unknownShare * b.fastLatency(now)
+	}
+	return s.latency * decay(now.Sub(s.learnedAt), b.config.LatencyHalfLife)
+}
+
 const (
 	// unknownShare is the part of a fast node's latency that one which has not
 	// answered yet is taken to have, so that it is tried.
--- a/balance/faults.go
+++ b/balance/faults.go
@@ -2,29 +2,21 @@
 
 import "time"
 
-// toldShare is the share of requests that a back end failed lately, as its node told
-// it. The node sees the requests of all callers, so that its word comes sooner than
-// what one caller learns from its own calls.
-type toldShare struct {
-	value float64
-	since time.Time
-}
-
 // SetFaults records the share of requests, 0 to 1, that the back end of a node
-// failed lately, as the node tells.
+// failed lately, as the node tells. The node sees the requests of all callers, so that
+// its word comes sooner than what one caller learns from its own calls.
 func (b *Balancer) SetFaults(now time.Time, id string, share float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if s, exists := b.states[id]; exists {
-		s.told = toldShare{value: min(max(share, 0), 1), since: now}
+		s.told = Share{value: min(max(share, 0), 1), since: now}
 	}
 }
 
 // faultsOf returns the share of a node's calls that fail, by what was seen here and
 // what the node told, whichever is higher.
 func (b *Balancer) faultsOf(now time.Time, s *state) float64 {
-	told := s.told.value * decay(now.Sub(s.told.since), b.config.FaultHalfLife)
-	return max(s.faults.At(now, b.config.FaultHalfLife), told)
+	return max(s.faults.At(now, b.config.FaultHalfLife), s.told.At(now, b.config.FaultHalfLife))
 }
 
 const (
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -20,26 +20,23 @@
 // the call was refused.
 func (p *Process) addReport(header http.Header, call *Call, answer *Answer) {
 	report := wire.Report{
-		Attempt:         call.Attempt,
-		Unspent:         call.Budget.Close(),
-		Level:           call.Execution.Level(),
-		PressurePercent: int(percent * call.Execution.Pressure()),
-		Inherited:       answer.Failed() && call.Execution.CallFailed(),
-		Leaving:         p.Announced(),
-		Replayed:        answer != nil && answer.Replayed,
+		Attempt:   call.Attempt,
+		Unspent:   call.Budget.Close(),
+		Level:     call.Execution.Level(),
+		Pressure:  call.Execution.Pressure(),
+		Inherited: answer.Failed() && call.Execution.CallFailed(),
+		Leaving:   p.Announced(),
+		Replayed:  answer != nil && answer.Replayed,
 	}
 	if p.occupancy != nil {
 		own := p.occupancy(time.Now())
 		report.Level = max(report.Level, own.Level)
-		report.LoadKnown, report.LoadPercent = true, int(percent*own.Load)
-		report.FaultPercent = int(percent * own.Faults)
+		report.LoadKnown, report.Load = true, own.Load
+		report.Faults = own.Faults
 	}
 	report.Write(header)
 }
 
-// percent is the number of percent in a whole.
-const percent = 100
-
 // inboundCall builds a call from another process for the own back end.
 func (p *Process) inboundCall(r *http.Request) (*Call, error) {
 	told := wire.ReadCallContext(r.Header)
--- a/plugin/admission/faults.go
+++ b/plugin/admission/faults.go
@@ -9,10 +9,6 @@
 	"github.com/loomcleat/loomcleat/result"
 )
 
-// faultsHalfLife is how fast the faults of the back end are forgotten when it gets no
-// requests. It is that of the balancers which are told of them.
-const faultsHalfLife = 2 * time.Second
-
 // faults is the share of requests that the back end failed by itself lately.
 type faults struct {
 	mutex sync.Mutex
@@ -22,13 +18,13 @@
 func (f *faults) learn(now time.Time, failed bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.share.Learn(now, faultsHalfLife, failed)
+	f.share.Learn(now, balance.DefaultFaultHalfLife, failed)
 }
 
 func (f *faults) at(now time.Time) float64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.share.At(now, faultsHalfLife)
+	return f.share.At(now, balance.DefaultFaultHalfLife)
 }
 
 // isFault reports whether an error of a request that was handed to the back end is the
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -77,8 +77,8 @@
 	silent  map[string]bool // addresses whose silence has been logged
 }
 
-// SetState implements kernel.Mesh. A process that was told to stop stays
-// leaving.
+// SetState implements kernel.Mesh. A process that has told its peers that it leaves
+// stays leaving.
 func (m *mesh) SetState(leaving, down bool) {
 	m.machine.SetState(leaving || m.process.Announced(), down)
 }
--- a/plugin/routing/answer.go
+++ b/plugin/routing/answer.go
@@ -43,20 +43,17 @@
 // learn takes what a node's answer tells of the node and of the way there.
 func learn(call *kernel.Call, balancer *balance.Balancer, target balance.Target, report *wire.Report) {
 	now := time.Now()
-	call.NotePressure(float64(report.PressurePercent) / percent)
+	call.NotePressure(report.Pressure)
 	if report.LoadKnown {
-		balancer.SetLoad(now, target.ID, float64(report.LoadPercent)/percent)
+		balancer.SetLoad(now, target.ID, report.Load)
 	}
-	balancer.SetFaults(now, target.ID, float64(report.FaultPercent)/percent)
+	balancer.SetFaults(now, target.ID, report.Faults)
 	balancer.SetLevel(now, target.ID, call.Policy.Path, report.Level)
 	if report.Level > 0 {
 		noteLevel(call, balancer.Level(now, call.Policy.Path))
 	}
 }
 
-// percent is the number of percent in a whole.
-const percent = 100
-
 // timeoutPressure is the pressure of an attempt that was not answered in time:
 // whoever might have told how long it waited did not get to it.
 const timeoutPressure = 3
--- a/wire/context_test.go
+++ b/wire/context_test.go
@@ -30,8 +30,8 @@
 func TestReportComesThroughWhole(t *testing.T) {
 	for name, sent := range map[string]Report{
 		"everything": {
-			Attempt: "a-1", Unspent: 3, Level: 900, PressurePercent: 1250, LoadKnown: true, LoadPercent: 140,
-			FaultPercent: 12, Inherited: true, Leaving: true, Replayed: true,
+			Attempt: "a-1", Unspent: 3, Level: 900, Pressure: 12.5, LoadKnown: true, Load: 1.4,
+			Faults: 0.12, Inherited: true, Leaving: true, Replayed: true,
 		},
 		"no load is known": {Attempt: "a"},
 		"nothing":          {},
@@ -52,7 +52,7 @@
 	sent := Report{Attempt: "a", LoadKnown: true}
 	sent.Write(header)
 	got := ReadReport(header)
-	is.True(got.LoadKnown && got.LoadPercent <= 1)
+	is.True(got.LoadKnown && got.Load <= 0.01)
 }
 
 // TestWhatIsNotUnderstoodIsPassedOver, as a newer process may tell more.
--- a/wire/report.go
+++ b/wire/report.go
@@ -11,17 +11,18 @@
 	// Level is the lowest priority that the node and everything it called for this
 	// request would admit now, 0 to 1024.
 	Level int
-	// PressurePercent is the highest pressure that the request met at this node or
-	// below: the time waited for a place, in percent of what it should be.
-	PressurePercent int
+	// Pressure is the highest pressure that the request met at this node or below: the
+	// time waited for a place as a multiple of what it should be. Sent in whole percent,
+	// as the shares below.
+	Pressure float64
 	// LoadKnown says that the node has told its load.
 	LoadKnown bool
-	// LoadPercent is the load of the node: the requests that its back end works on or
-	// that wait, in percent of those that it works on at a time.
-	LoadPercent int
-	// FaultPercent is the share of requests that the back end failed by itself lately:
+	// Load is the load of the node: the requests that its back end works on or that
+	// wait, as a share of those that it works on at a time.
+	Load float64
+	// Faults is the share of requests that the back end failed by itself lately:
 	// lost or spoiled answers, and failures of its own.
-	FaultPercent int
+	Faults float64
 	// Inherited says that the answer is a failure of the back end after a call of its
 	// own had failed, so that it says nothing about the back end.
 	Inherited bool
@@ -49,12 +50,12 @@
 	list.addText(nameAttempt, r.Attempt)
 	list.addNumber(nameUnspent, int64(r.Unspent))
 	list.addNumber(nameLevel, int64(r.Level))
-	list.addNumber(namePressure, int64(r.PressurePercent))
+	list.addNumber(namePressure, inPercent(r.Pressure))
 	if r.LoadKnown {
 		// An idle node tells so, unlike one that has nothing to tell.
-		list.addNumber(nameLoad, int64(max(r.LoadPercent, 1)))
+		list.addNumber(nameLoad, max(inPercent(r.Load), 1))
 	}
-	list.addNumber(nameFaults, int64(r.FaultPercent))
+	list.addNumber(nameFaults, inPercent(r.Faults))
 	list.addFlag(nameInherited, r.Inherited)
 	list.addFlag(nameLeaving, r.Leaving)
 	list.addFlag(nameReplayed, r.Replayed)
@@ -73,12 +74,12 @@
 		case nameLevel:
 			r.Level = int(numberOf(value))
 		case namePressure:
-			r.PressurePercent = int(numberOf(value))
+			r.Pressure = fromPercent(numberOf(value))
 		case nameLoad:
-			r.LoadPercent = max(int(numberOf(value)), 0)
-			r.LoadKnown = r.LoadPercent > 0
+			r.Load = fromPercent(max(numberOf(value), 0))
+			r.LoadKnown = r.Load > 0
 		case nameFaults:
-			r.FaultPercent = int(numberOf(value))
+			r.Faults = fromPercent(numberOf(value))
 		case nameInherited:
 			r.Inherited = value == "1"
 		case nameLeaving:
@@ -89,3 +90,12 @@
 	})
 	return r
 }
+
+// percent is the number of percent in a whole.
+const percent = 100
+
+// inPercent returns a share in whole percent, rounded down.
+func inPercent(share float64) int64 { return int64(percent * share) }
+
+// fromPercent returns the share that a number of percent is.
+func fromPercent(number int64) float64 { return float64(number) / percent }
