Sight: what a request asks for, and which requests a back end was working on when it ended

Cause: lines of attempts carried the id of one try only, which is new with every try, and nothing said with which incarnation a request was lost; so the hypotheses of the incident could not be told apart. Ruled out: logging paths and bodies (long, and may hold secrets); a hash says whether two requests are the same. Change: a signature of a request (method, host, path, query, tenant, body), in each line about a failed, refused or repeated request; the incarnation in lines of the node beside it; event 419 with the signatures of the requests that were lost when a back end ended unannounced. No decision reads them.

--- a/event/events.go
+++ b/event/events.go
@@ -69,6 +69,8 @@
 	QuotaNarrowed           Number = 416
 	QuotaCoordinatorChanged Number = 417
 	QuotaUnanswered         Number = 418
+
+	BackendCrashed Number = 419
 )
 
 // Events of at-most-once claims.
@@ -137,6 +139,7 @@
 	{QuotaNarrowed, "quota-narrowed", "info", "A tenant is near its quota, and only a share of its requests is admitted here; or everything is again."},
 	{QuotaCoordinatorChanged, "quota-coordinator-changed", "info", "Another process adds up what tenants use of their quotas."},
 	{QuotaUnanswered, "quota-unanswered", "warn", "The process that adds up what tenants use did not answer a report; equal shares are kept to until another one does."},
+	{BackendCrashed, "backend-crashed", "warn", "The back end beside this node ended, unannounced, while it worked on requests; the line names them by their signatures."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/kernel/account.go
+++ b/kernel/account.go
@@ -57,6 +57,10 @@
 		"left_ms", time.Until(call.Deadline).Milliseconds(),
 		"pressure", call.Pressure,
 		"tried", call.Tried,
+		"signature", call.Signature().String(),
+	}
+	if call.Inbound {
+		pairs = append(pairs, "instance", call.Instance)
 	}
 	if call.Execution != nil && !call.Inbound {
 		pairs = append(pairs, "parent", call.Execution.RequestID)
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -57,6 +57,9 @@
 	// ClaimKey is the key under which the call may run at most once. Zero for
 	// calls that may be repeated.
 	ClaimKey claims.Key
+	// Instance names the incarnation of the back end that the call was handed to, "" before
+	// that and where the back end sends no heartbeats.
+	Instance string
 	// Fingerprint tells requests with the same key apart: a hash of the body,
 	// 0 when it is streamed.
 	Fingerprint uint64
--- a/kernel/chain.go
+++ b/kernel/chain.go
@@ -3,12 +3,13 @@
 // InboundChain is the order of plug-ins for calls that arrive at a node for its
 // back end.
 var InboundChain = []string{
-	"drain",     // refuse when stopping
-	"deadline",  // refuse what is out of time, bound the rest
-	"instance",  // refuse while the back end is unknown or has left
-	"admission", // wait for a place beside the back end
-	"once",      // claim what may not be repeated
-	"forward",   // hand to the back end
+	"drain",      // refuse when stopping
+	"deadline",   // refuse what is out of time, bound the rest
+	"instance",   // refuse while the back end is unknown or has left
+	"admission",  // wait for a place beside the back end
+	"once",       // claim what may not be repeated
+	"quarantine", // notice what crashes the back end
+	"forward",    // hand to the back end
 }
 
 // OutboundChain is the order of plug-ins for calls that leave a gateway or that
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -53,6 +53,7 @@
 		return nil, err
 	}
 	call.Inbound = true
+	call.Tenant = p.Dialect.ReadTenant(call.Header)
 	if err := p.readContext(call, &told); err != nil {
 		return nil, err
 	}
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -12,6 +12,7 @@
 	_ "github.com/loomcleat/loomcleat/plugin/instance"   // heartbeats of the back end
 	_ "github.com/loomcleat/loomcleat/plugin/membership" // gossip
 	_ "github.com/loomcleat/loomcleat/plugin/once"       // at most once
+	_ "github.com/loomcleat/loomcleat/plugin/quarantine" // requests that crash back ends
 	_ "github.com/loomcleat/loomcleat/plugin/quota"      // quotas of tenants
 	_ "github.com/loomcleat/loomcleat/plugin/retry"      // attempts
 	_ "github.com/loomcleat/loomcleat/plugin/routing"    // choice of a node
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -109,6 +109,7 @@
 	if header := f.process.Dialect.ExpectInstance; header != "" {
 		call.Header.Set(header, state.ID)
 	}
+	call.Instance = state.ID
 	return state.ID, nil
 }
 
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,11 @@
+// Package quarantine finds requests that end the back ends which run them.
+//
+// Some requests crash whatever runs them. Sent again, by a process or by its caller, such
+// a request takes one back end after the other, with all that these were working on. No
+// single process sees that: each attempt has another name, and may enter anywhere.
+//
+// A request is known by its Signature. A Witness stands beside each back end and names the
+// requests that were lost when it ended.
+//
+// The package does no I/O and has no clock.
+package quarantine
--- a/wire/dialect.go
+++ b/wire/dialect.go
@@ -78,6 +78,12 @@
 	header.Set(orDefault(d.Tenant, HeaderTenant), tenant)
 }
 
+// ReadTenant returns the name of the tenant that another process found a request to be
+// for, "" when it is for none.
+func (d *Dialect) ReadTenant(header http.Header) string {
+	return header.Get(orDefault(d.Tenant, HeaderTenant))
+}
+
 func orDefault(name, standard string) string {
 	if name == "" {
 		return standard
