Failing test: a request that crashes its back ends is sent on without end

Cause: to be mended. The test brings it about with four nodes and back ends that end, with all that they work on, when they run one request, and are back 0.3 s later; a caller sends it again every 100 ms at any node. Ruled out as its own artefact: other requests are served by the same back ends before and after.

--- /dev/null
+++ b/e2e/crash_test.go
@@ -0,0 +1,202 @@
+package e2e
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+)
+
+// crashingPath is that of a request which ends every back end that runs it.
+const crashingPath = "/front/crash"
+
+// Times of the back ends of these tests.
+const (
+	crashAfter   = 30 * time.Millisecond  // from the arrival of the request to the end
+	restartAfter = 300 * time.Millisecond // from the end to the next incarnation
+	usualWork    = 20 * time.Millisecond
+	// knownAfter is the time from the third end to when every node must know of it.
+	knownAfter = 3 * time.Second
+)
+
+// crashingBackend is a back end that ends when it runs the crashing request, with all
+// that it works on, and comes back as another incarnation.
+type crashingBackend struct {
+	t       *testing.T
+	node    *platformNode
+	address string
+	starts  int
+
+	mutex   sync.Mutex
+	server  *httptest.Server
+	crashes []time.Time
+	reached []time.Time // when the crashing request arrived
+}
+
+// startCrashingBackends starts nodes of the service "front", each beside a back end.
+func startCrashingBackends(t *testing.T, count int) []*crashingBackend {
+	t.Helper()
+	is := is.New(t)
+	stub := metastore.NewServer()
+	store := httptest.NewServer(stub.Handler())
+	t.Cleanup(store.Close)
+	stub.Put("op/config", platformConfiguration(3, "front"))
+	backends := []*crashingBackend{}
+	for range count {
+		b := &crashingBackend{t: t, address: freePort(t), node: newPlatformNode(t, "front")}
+		b.begin()
+		b.node.startBeside(t, store.URL, b.address)
+		t.Cleanup(b.close)
+		backends = append(backends, b)
+	}
+	for _, b := range backends {
+		until(t, "readiness", func() bool { return b.node.ready() == http.StatusOK })
+		is.Equal(b.node.beat("ready"), http.StatusOK)
+		b.node.served(t, "/front/x", "")
+	}
+	return backends
+}
+
+// begin starts an incarnation.
+func (b *crashingBackend) begin() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.starts++
+	b.node.setInstance(fmt.Sprintf("i-%s-%d", b.address, b.starts))
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		b.t.Errorf("restarting a back end: %v", err)
+		return
+	}
+	b.server = httptest.NewUnstartedServer(http.HandlerFunc(b.serve))
+	_ = b.server.Listener.Close()
+	b.server.Listener = listener
+	b.server.Start()
+}
+
+func (b *crashingBackend) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != crashingPath {
+		time.Sleep(usualWork)
+		b.node.serveBackend(w, r)
+		return
+	}
+	b.mutex.Lock()
+	b.reached = append(b.reached, time.Now())
+	server := b.server
+	b.mutex.Unlock()
+	time.Sleep(crashAfter)
+	b.crash(server)
+	<-r.Context().Done()
+}
+
+// crash ends an incarnation at once and begins the next one a while later.
+func (b *crashingBackend) crash(server *httptest.Server) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.server != server {
+		return // another request has ended it
+	}
+	b.server = nil
+	b.crashes = append(b.crashes, time.Now())
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+	time.AfterFunc(restartAfter, func() {
+		b.begin()
+		b.node.beat("ready")
+	})
+}
+
+func (b *crashingBackend) close() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.server != nil {
+		b.server.CloseClientConnections()
+	}
+}
+
+// crashesOf returns the number of ends of all back ends, and when the third one was.
+func crashesOf(backends []*crashingBackend) (count int, third time.Time) {
+	ends := []time.Time{}
+	for _, b := range backends {
+		b.mutex.Lock()
+		ends = append(ends, b.crashes...)
+		b.mutex.Unlock()
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	if len(ends) < 3 {
+		return len(ends), time.Time{}
+	}
+	return len(ends), ends[2]
+}
+
+// reachedAfter counts the arrivals of the crashing request after a time.
+func reachedAfter(backends []*crashingBackend, moment time.Time) int {
+	count := 0
+	for _, b := range backends {
+		b.mutex.Lock()
+		for _, at := range b.reached {
+			if at.After(moment) {
+				count++
+			}
+		}
+		b.mutex.Unlock()
+	}
+	return count
+}
+
+// sendAgainAndAgain sends the crashing request to each node in turn for a time, as a
+// caller does that gets no answer, and returns how often it was refused as not run.
+func sendAgainAndAgain(backends []*crashingBackend, duration time.Duration) (refused int) {
+	end := time.Now().Add(duration)
+	for i := 0; time.Now().Before(end); i++ {
+		if backends[i%len(backends)].node.get(crashingPath, "").status == http.StatusServiceUnavailable {
+			refused++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return refused
+}
+
+// TestARequestThatCrashesBackEndsIsStopped
+//
+// Symptom: all back ends of a service end within a fraction of a second, are back after
+// some seconds, and end again, for as long as one caller goes on. The other requests of
+// the service are lost or refused meanwhile; other services go on.
+//
+// Sequence: a request ends the back end that runs it. Its node sees a broken connection.
+// The process where it entered repeats it at the next back end, which ends as well; its
+// caller tries again at another machine, under another id, and so on.
+//
+// Cause: a broken connection was taken for a fault of the back end alone. Nothing was
+// remembered of the request, neither by the process that repeats it nor by the nodes
+// beside the back ends, and each try of the caller began anew.
+//
+// What settled it: the lines backend-crashed (419) of the nodes, in which the same
+// signature stands for every incarnation that ended, while the others change.
+func TestARequestThatCrashesBackEndsIsStopped(t *testing.T) {
+	is := is.New(t)
+	backends := startCrashingBackends(t, 4)
+	refused := sendAgainAndAgain(backends, 2*knownAfter)
+	count, third := crashesOf(backends)
+	is.True(count >= 3)                                        // it does crash them
+	is.Equal(reachedAfter(backends, third.Add(knownAfter)), 0) // and is known everywhere in time
+	is.True(count <= 8)                                        // 3, and what was on its way meanwhile
+	is.True(refused > 0)                                       // as not run
+
+	// The other requests of the service are served.
+	for _, b := range backends {
+		b.node.served(t, "/front/x", "")
+	}
+	for _, b := range backends {
+		is.True(!strings.Contains(b.node.log.String(), "request-panic"))
+	}
+}
