Requests that crash the back ends which run them are refused after the third

Cause: a connection that breaks counted against the back end alone. Nothing was remembered of the request, by any process: the one that repeats an attempt sent it on, and each try of the caller began anew at another machine. Ruled out, by the reproduction, which has neither: load, retries beyond the fleet's budget, reused connections. Change: package quarantine. The node beside a back end that ends unannounced tells all processes which requests were lost with it, by signature; a request that was lost with three incarnations is refused right before the back end (2016, not run), the attempt that loses the third is not repeated (3006), an answer of a back end clears a request of all suspicion, gossip carries a digest for those that were not reached, one write to the store for each case keeps it over a restart of all processes, and one attempt at a time is let through for a trial after a minute, then later.

--- a/event/events.go
+++ b/event/events.go
@@ -70,7 +70,10 @@
 	QuotaCoordinatorChanged Number = 417
 	QuotaUnanswered         Number = 418
 
-	BackendCrashed Number = 419
+	BackendCrashed      Number = 419
+	RequestQuarantined  Number = 420
+	SuspicionCleared    Number = 421
+	QuarantineNotStored Number = 422
 )
 
 // Events of at-most-once claims.
@@ -140,6 +143,9 @@
 	{QuotaCoordinatorChanged, "quota-coordinator-changed", "info", "Another process adds up what tenants use of their quotas."},
 	{QuotaUnanswered, "quota-unanswered", "warn", "The process that adds up what tenants use did not answer a report; equal shares are kept to until another one does."},
 	{BackendCrashed, "backend-crashed", "warn", "The back end beside this node ended, unannounced, while it worked on requests; the line names them by their signatures."},
+	{RequestQuarantined, "request-quarantined", "warn", "Enough back ends crashed under one request: it is refused from now on, and its caller told when it may come again."},
+	{SuspicionCleared, "suspicion-cleared", "info", "A back end answered a request that others had crashed under; it is no longer suspected of those crashes."},
+	{QuarantineNotStored, "quarantine-not-stored", "warn", "The requests in quarantine could not be read from the store or written to it; it is tried again, and peers know of them meanwhile."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/kernel/chain.go
+++ b/kernel/chain.go
@@ -8,7 +8,7 @@
 	"instance",   // refuse while the back end is unknown or has left
 	"admission",  // wait for a place beside the back end
 	"once",       // claim what may not be repeated
-	"quarantine", // notice what crashes the back end
+	"quarantine", // refuse what crashes back ends
 	"forward",    // hand to the back end
 }
 
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -47,6 +47,8 @@
 	// Documents and Mesh are set during set-up by plug-ins.
 	Documents Documents
 	Mesh      Mesh
+	// Quarantine is set during set-up by a plug-in, nil without it.
+	Quarantine Quarantine
 	// BackEnd is set during set-up by a plug-in, nil when the back end sends no
 	// heartbeats.
 	BackEnd BackEnd
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -39,6 +39,14 @@
 	Announce()
 }
 
+// Quarantine is what the plug-in that refuses requests which crash back ends provides.
+type Quarantine interface {
+	// Digest tells apart what processes know of crashes, 0 for nothing.
+	Digest() uint64
+	// Heard tells of the digest that a peer has. It does not block.
+	Heard(peer string, digest uint64)
+}
+
 // BackEnd is what the plug-in that follows the back end's heartbeats provides.
 type BackEnd interface {
 	// Observe takes a heartbeat. When it returns nil, what the heartbeat says is
--- a/plugin/admission/faults.go
+++ b/plugin/admission/faults.go
@@ -31,7 +31,7 @@
 // back end's own fault: its answer was lost or is none.
 func isFault(err error) bool {
 	switch result.From(err).Code {
-	case result.ConnectionLost, result.AnswerMismatch:
+	case result.ConnectionLost, result.CrashSuspected, result.AnswerMismatch:
 		return true
 	default:
 		return false
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -139,7 +139,7 @@
 		m.publish(now)
 	})
 	if err == nil {
-		m.process.Documents.Heard(send.To, reply.Revisions, asked)
+		m.heard(send.To, reply, asked)
 	}
 }
 
@@ -163,12 +163,30 @@
 func (m *mesh) ask(address string, message membership.Message, timeout time.Duration) (wire.Envelope, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	envelope := wire.Envelope{Membership: message, Revisions: m.process.Documents.Revisions()}
+	envelope := m.envelope(message)
 	var reply wire.Envelope
 	err := m.process.Control.Invoke(ctx, address, http.MethodPost, wire.PathGossip, &envelope, &reply)
 	return reply, err
 }
 
+// envelope adds to a message what this process knows beside the members.
+func (m *mesh) envelope(message membership.Message) wire.Envelope {
+	envelope := wire.Envelope{Membership: message, Revisions: m.process.Documents.Revisions()}
+	if m.process.Quarantine != nil {
+		envelope.Quarantine = m.process.Quarantine.Digest()
+	}
+	return envelope
+}
+
+// heard passes on what a peer knows beside the members. asked is when this process asked
+// for it, zero when the peer told it unasked.
+func (m *mesh) heard(peer string, envelope wire.Envelope, asked time.Time) {
+	m.process.Documents.Heard(peer, envelope.Revisions, asked)
+	if m.process.Quarantine != nil {
+		m.process.Quarantine.Heard(peer, envelope.Quarantine)
+	}
+}
+
 // serveGossip answers a message of a peer.
 func (m *mesh) serveGossip(w http.ResponseWriter, r *http.Request) {
 	var envelope wire.Envelope
@@ -187,8 +205,8 @@
 	if envelope.Membership.Kind == membership.PingThrough {
 		reply.OK = m.probeFor(envelope.Membership.Target)
 	}
-	kernel.WriteJSON(w, wire.Envelope{Membership: reply, Revisions: m.process.Documents.Revisions()})
-	m.process.Documents.Heard(envelope.Membership.From.Control, envelope.Revisions, time.Time{})
+	kernel.WriteJSON(w, m.envelope(reply))
+	m.heard(envelope.Membership.From.Control, envelope, time.Time{})
 }
 
 // probeFor repeats a probe on behalf of another process.
--- /dev/null
+++ b/plugin/quarantine/peers.go
@@ -0,0 +1,131 @@
+package quarantine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/membership"
+	"github.com/loomcleat/loomcleat/quarantine"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// Bounds of messages between processes.
+const (
+	// tellTimeout bounds one message. A process that does not answer learns of the crash
+	// by gossip.
+	tellTimeout = 500 * time.Millisecond
+	// tellAtOnce is the number of processes that are told at a time.
+	tellAtOnce = 16
+	// pullTimeout bounds the transfer of all that a peer knows.
+	pullTimeout = time.Second
+	// pullAgain is the time for which a digest that was looked into is not looked into
+	// again: a peer that knows less shows another digest until it has caught up.
+	pullAgain = 2 * time.Second
+)
+
+// tell sends what is known of crashes to all processes, those of the own service first:
+// their back ends are the next to run the request.
+func (p *plugin) tell(crashes []quarantine.Crash) {
+	message := wire.Crashes{Crashes: crashes}
+	slots := make(chan struct{}, tellAtOnce)
+	pending := sync.WaitGroup{}
+	for _, member := range p.audience() {
+		slots <- struct{}{}
+		pending.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(p.process.Context(), tellTimeout)
+			defer cancel()
+			// One that is not reached learns of it by gossip.
+			_ = p.process.Control.Invoke(ctx, member.Control, http.MethodPost, wire.PathQuarantine, &message, &wire.Empty{})
+		})
+	}
+	pending.Wait()
+}
+
+// audience returns the other processes, those of the own service first.
+func (p *plugin) audience() []membership.Member {
+	own, others := []membership.Member{}, []membership.Member{}
+	for _, member := range *p.process.Members.Load() {
+		switch {
+		case member.ID == p.process.ID || member.Status == membership.Dead:
+		case member.Service == p.process.Settings.Service:
+			own = append(own, member)
+		default:
+			others = append(others, member)
+		}
+	}
+	return append(own, others...)
+}
+
+// receiveCrashes takes what another process tells.
+func (p *plugin) receiveCrashes(w http.ResponseWriter, r *http.Request) {
+	var message wire.Crashes
+	if !kernel.ReadJSON(w, r, &message) {
+		return
+	}
+	p.learn(time.Now(), message.Crashes, r.RemoteAddr)
+	kernel.WriteJSON(w, wire.Empty{})
+}
+
+// serveCrashes tells another process all that is known here.
+func (p *plugin) serveCrashes(w http.ResponseWriter, _ *http.Request) {
+	p.mutex.Lock()
+	answer := wire.Crashes{Crashes: p.ledger.All(time.Now())}
+	p.mutex.Unlock()
+	kernel.WriteJSON(w, answer)
+}
+
+// Digest implements kernel.Quarantine.
+func (p *plugin) Digest() uint64 {
+	if !p.watching.Load() {
+		return 0
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.ledger.Digest(time.Now())
+}
+
+// Heard implements kernel.Quarantine: it fetches what the peer may know beyond what is
+// known here. That is how processes that were cut off or have just started learn.
+func (p *plugin) Heard(peer string, digest uint64) {
+	if digest == 0 || digest == p.Digest() || !p.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	if !p.worthPulling(time.Now(), digest) {
+		p.pulling.Store(false)
+		return
+	}
+	go p.pull(peer)
+}
+
+// worthPulling reports whether a digest has not been looked into for a while.
+func (p *plugin) worthPulling(now time.Time, digest uint64) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if at, known := p.pulled[digest]; known && now.Sub(at) < pullAgain {
+		return false
+	}
+	if len(p.pulled) >= maximumPulled || p.pulled == nil {
+		p.pulled = map[uint64]time.Time{}
+	}
+	p.pulled[digest] = now
+	return true
+}
+
+// maximumPulled bounds the digests that are remembered.
+const maximumPulled = 64
+
+// pull fetches all that a peer knows.
+func (p *plugin) pull(peer string) {
+	defer p.pulling.Store(false)
+	ctx, cancel := context.WithTimeout(p.process.Context(), pullTimeout)
+	defer cancel()
+	var answer wire.Crashes
+	if err := p.process.Control.Invoke(ctx, peer, http.MethodGet, wire.PathQuarantine, nil, &answer); err != nil {
+		return // another message of any peer tries again
+	}
+	p.learn(time.Now(), answer.Crashes, peer)
+}
--- a/plugin/quarantine/setup.go
+++ b/plugin/quarantine/setup.go
@@ -1,111 +1,113 @@
-// Package quarantine notices when the back end beside the node ends while it works on
-// requests, and names them. The decisions are made by package quarantine at the root.
+// Package quarantine refuses requests that crash the back ends which run them, once
+// enough of them have. A node finds out when the back end beside it has ended, and tells
+// all others which requests were lost with it. The decisions are made by package
+// quarantine at the root.
 package quarantine
 
 import (
-	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/quarantine"
-	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/wire"
 )
 
 const name = "quarantine"
 
-func init() { kernel.Register(name, kernel.StageTraffic, setup) }
+func init() { kernel.Register(name, kernel.StageServices, setup) }
+
+// expireInterval is the time between two looks for ends that are too old.
+const expireInterval = 10 * time.Second
 
 func setup(process *kernel.Process) error {
+	p := &plugin{
+		process:  process,
+		ledger:   quarantine.NewLedger(quarantine.Config{}),
+		doubtful: make(chan struct{}, 1),
+		unsaved:  make(chan struct{}, 1),
+	}
+	process.Quarantine = p
+	process.HandleControl("GET "+wire.PathQuarantine, p.serveCrashes)
+	process.HandleControl("POST "+wire.PathQuarantine, p.receiveCrashes)
+	process.Loop.Every(expireInterval, p.expire)
+	p.registerMetrics(process.Metrics)
 	if !process.IsNode() {
 		return nil
 	}
-	p := &plugin{process: process, doubtful: make(chan struct{}, 1)}
 	process.UseInbound(name, p.middleware)
 	process.OnStart(p.watch)
+	if process.Store != nil {
+		process.OnStart(p.keepStored)
+	}
 	return nil
 }
 
-// plugin stands beside the back end of one node.
+// plugin holds what one process knows of crashes, and stands beside the back end of a
+// node.
 type plugin struct {
 	process  *kernel.Process
 	doubtful chan struct{} // wakes the watch
+	unsaved  chan struct{} // wakes whoever writes to the store
+	watching atomic.Bool   // a request is under suspicion
+	pulling  atomic.Bool
+	crashed  atomic.Int64 // back ends of this node
 
-	mutex   sync.Mutex
-	witness quarantine.Witness
-	doubt   doubt
-	crashes int // of back ends without a name of their own
-}
-
-func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
-	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
-		answer, err := next.Handle(call)
-		if err != nil {
-			p.noteLoss(call, result.From(err).Code)
-		}
-		return answer, err
-	})
-}
+	// Of a back end that gives its incarnations no names.
+	unnamed      atomic.Int64 // number of the present one
+	unnamedEnded atomic.Bool  // it has ended, and none has answered since
 
-// noteLoss remembers a request that was handed to the back end and ended without an
-// answer. A back end that has said that it leaves may end with requests in flight.
-func (p *plugin) noteLoss(call *kernel.Call, code result.Code) {
-	switch code {
-	case result.ConnectionLost, result.CallerCancelled, result.DeadlineExceeded:
-	default:
-		return
-	}
-	now := time.Now()
-	if p.process.BackEnd != nil && p.process.BackEnd.State().Leaving {
-		return
-	}
-	signature := call.Signature()
-	p.mutex.Lock()
-	instance := p.incarnation(call)
-	p.witness.Lost(now, instance, signature)
-	broken := code == result.ConnectionLost
-	if broken {
-		p.doubt = doubt{instance: instance, since: now, probed: p.doubt.probed}
-	}
-	p.mutex.Unlock()
-	if broken {
-		p.wake()
-	}
+	mutex     sync.Mutex
+	ledger    *quarantine.Ledger
+	witness   quarantine.Witness
+	doubt     doubt
+	lastEnded string               // the incarnation of the last crash
+	pulled    map[uint64]time.Time // digests that were looked into, and when
 }
 
-func (p *plugin) wake() {
-	select {
-	case p.doubtful <- struct{}{}:
-	default: // the watch is about to look
-	}
+func (p *plugin) registerMetrics(registry *prometheus.Registry) {
+	registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "loomcleat_backend_crashes_total", Help: "Ends, unannounced, of the back end beside this node while it worked on requests.",
+		}, func() float64 { return float64(p.crashed.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "loomcleat_quarantined_requests", Help: "Requests that are refused since back ends crashed under them.",
+		}, p.countQuarantined),
+	)
 }
 
-// incarnation names the incarnation that a call was handed to. One without a name gets
-// one that no other process gives. The mutex is held.
-func (p *plugin) incarnation(call *kernel.Call) string {
-	if call.Instance != "" {
-		return call.Instance
-	}
-	return fmt.Sprintf("%s/%d", p.process.ID, p.crashes)
+func (p *plugin) countQuarantined() float64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return float64(p.ledger.Quarantined())
 }
 
-// settle forgets the doubt of an incarnation.
-func (p *plugin) settle(instance string) {
+// expire runs on the control loop.
+func (p *plugin) expire(now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.doubt.instance == instance {
-		p.doubt = doubt{}
-	}
+	p.ledger.Expire(now)
+	p.watching.Store(p.ledger.Watching())
 }
 
-// ended takes note that an incarnation has ended while it worked on requests.
-func (p *plugin) ended(instance, found string) {
-	p.settle(instance)
+// learn takes what is known of crashes and reports whether any of it was new, and whether
+// it put requests into quarantine.
+func (p *plugin) learn(now time.Time, crashes []quarantine.Crash, from string) (news, convicted bool) {
+	quarantined := []quarantine.Signature{}
 	p.mutex.Lock()
-	suspects := p.witness.Suspects(instance)
-	p.crashes++
+	for _, crash := range crashes {
+		isNew, by := p.ledger.Report(now, crash)
+		news = news || isNew
+		quarantined = append(quarantined, by...)
+	}
+	p.watching.Store(p.ledger.Watching())
 	p.mutex.Unlock()
-	p.process.Log.Emit(event.BackendCrashed, "backend", p.process.Settings.Backend, "instance", instance, "found", found,
-		"suspects", len(suspects), "signatures", suspects)
+	for _, signature := range quarantined {
+		p.process.Log.Emit(event.RequestQuarantined, "signature", signature, "from", from)
+	}
+	return news, len(quarantined) > 0
 }
--- /dev/null
+++ b/plugin/quarantine/stored.go
@@ -0,0 +1,117 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/quarantine"
+	"github.com/loomcleat/loomcleat/spread"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// storeKey is the key under which the requests in quarantine lie in the store, for the
+// case that all processes are started anew.
+const storeKey = "quarantine"
+
+// Bounds of the use of the store.
+const (
+	storeTimeout = 2 * time.Second
+	// storePause is the time between two tries to reach the store.
+	storePause = time.Second
+	// meetingTime is waited for after the start until peers are known: they tell what
+	// they know, and only a few processes go to the store.
+	meetingTime = time.Second
+)
+
+// keepStored reads what lies in the store, and writes there when this process has put a
+// request into quarantine: one write for each, so that a restart of all processes does
+// not cost the service three more back ends.
+func (p *plugin) keepStored(ctx context.Context) {
+	kernel.Pause(ctx, meetingTime)
+	alive := kernel.LiveIDs(*p.process.Members.Load())
+	if spread.Watches(p.process.ID, alive, p.process.Settings.StoreWatches) {
+		p.persist(ctx, p.load)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.unsaved:
+			p.persist(ctx, p.write)
+		}
+	}
+}
+
+// save has what is in quarantine written to the store.
+func (p *plugin) save() {
+	select {
+	case p.unsaved <- struct{}{}:
+	default: // it is about to be written
+	}
+}
+
+// persist tries until the store has done its part.
+func (p *plugin) persist(ctx context.Context, step func(context.Context) (bool, error)) {
+	for failed := false; ctx.Err() == nil; {
+		limited, cancel := context.WithTimeout(ctx, storeTimeout)
+		done, err := step(limited)
+		cancel()
+		if done {
+			return
+		}
+		if err != nil && !failed {
+			failed = true
+			p.process.Log.Emit(event.QuarantineNotStored, "error", err)
+		}
+		kernel.Pause(ctx, storePause)
+	}
+}
+
+// load learns what lies in the store.
+func (p *plugin) load(ctx context.Context) (bool, error) {
+	_, err := p.read(ctx)
+	return err == nil, err
+}
+
+// read learns what lies in the store and returns its index there.
+func (p *plugin) read(ctx context.Context) (index uint64, err error) {
+	entry, err := p.process.Store.Get(ctx, storeKey)
+	if err != nil || !entry.Exists {
+		return 0, err
+	}
+	var stored wire.Crashes
+	if err := json.Unmarshal(entry.Value, &stored); err != nil {
+		p.process.Log.Emit(event.QuarantineNotStored, "error", err)
+		return entry.Index, nil // it is written anew
+	}
+	p.learn(time.Now(), stored.Crashes, "store")
+	return entry.Index, nil
+}
+
+// write puts the requests in quarantine into the store, with those that lie there.
+func (p *plugin) write(ctx context.Context) (bool, error) {
+	index, err := p.read(ctx)
+	if err != nil {
+		return false, err
+	}
+	p.mutex.Lock()
+	convicted := p.ledger.Convicted(time.Now())
+	p.mutex.Unlock()
+	data, err := json.Marshal(wire.Crashes{Crashes: withoutAges(convicted)})
+	if err != nil {
+		return false, err
+	}
+	return p.process.Store.CompareAndSwap(ctx, storeKey, data, index)
+}
+
+// withoutAges returns crashes as if they had just been: nobody can tell how long they lie
+// in the store. A request in quarantine by them is let through for a trial as any other.
+func withoutAges(crashes []quarantine.Crash) []quarantine.Crash {
+	for i := range crashes {
+		crashes[i].Age = 0
+	}
+	return crashes
+}
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -89,7 +89,7 @@
 	}
 	typed := result.From(err)
 	switch typed.Code {
-	case result.CallerGone, result.CallerCancelled, result.DeadlineTooShort:
+	case result.CallerGone, result.CallerCancelled, result.DeadlineTooShort, result.RequestQuarantined:
 		return balance.Unknown
 	case result.NodeRefused:
 		return balance.Failed
--- a/result/codes.go
+++ b/result/codes.go
@@ -47,6 +47,7 @@
 	BackendLeft        Code = 2013
 	KeysUnproven       Code = 2014
 	QuotaExceeded      Code = 2015
+	RequestQuarantined Code = 2016
 )
 
 // Codes of requests whose outcome is unknown.
@@ -56,6 +57,7 @@
 	AlreadyClaimed   Code = 3003
 	CallerCancelled  Code = 3004
 	AnswerMismatch   Code = 3005
+	CrashSuspected   Code = 3006
 )
 
 // Codes of requests that are not acceptable.
@@ -108,11 +110,13 @@
 	{BackendLeft, "backend-left", http.StatusServiceUnavailable, true, "The back end beside the node is not known yet, or has left."},
 	{KeysUnproven, "keys-unproven", http.StatusServiceUnavailable, true, "The process has not been able to prove for a while that its policy is the newest one, so that it cannot tell which keys were taken away."},
 	{QuotaExceeded, "quota-exceeded", http.StatusTooManyRequests, true, "The tenant has made more requests than its quota allows, over all processes together."},
+	{RequestQuarantined, "request-quarantined", http.StatusServiceUnavailable, true, "Back ends crashed, one after the other, while they ran this request, so that it is not handed to another."},
 	{DeadlineExceeded, "deadline-exceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request was in flight."},
 	{ConnectionLost, "connection-lost", http.StatusBadGateway, false, "The connection broke after the request was sent and before its answer arrived."},
 	{AlreadyClaimed, "already-claimed", http.StatusConflict, false, "The request was started before under the same key and its answer is not available; it was not run again."},
 	{CallerCancelled, "caller-cancelled", 499, false, "The caller went away while the request was in flight."},
 	{AnswerMismatch, "answer-mismatch", http.StatusBadGateway, false, "An answer did not carry the identity of its request and was discarded."},
+	{CrashSuspected, "crash-suspected", http.StatusBadGateway, false, "The connection to the back end broke, as it did at others that crashed while they ran this request, so that it is not sent again."},
 	{BadRequest, "bad-request", http.StatusBadRequest, true, "The request is malformed."},
 	{KeyReused, "key-reused", http.StatusUnprocessableEntity, true, "The Idempotency-Key was used before for a different request."},
 	{NoRoute, "no-route", http.StatusNotFound, true, "No route of the policy in force leads to the host and path."},
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/membership"
+	"github.com/loomcleat/loomcleat/quarantine"
 	"github.com/loomcleat/loomcleat/quota"
 )
 
@@ -14,6 +15,7 @@
 	PathRevisions   = "/v1/revisions"
 	PathQuota       = "/v1/quota"
 	PathTenants     = "/v1/tenants"
+	PathQuarantine  = "/v1/quarantine"
 	PathLeave       = "/v1/leave"
 	PathClaim       = "/v1/claims/claim"
 	PathWithdraw    = "/v1/claims/withdraw"
@@ -61,6 +63,14 @@
 type Envelope struct {
 	Membership membership.Message `json:"membership"`
 	Revisions  Revisions          `json:"revisions"`
+	// Quarantine is a digest of the crashes that the sender knows of, 0 for none.
+	Quarantine uint64 `json:"quarantine,omitempty"`
+}
+
+// Crashes tells what is known of crashes of back ends on PathQuarantine, and lies in the
+// store for requests that are in quarantine.
+type Crashes struct {
+	Crashes []quarantine.Crash `json:"crashes"`
 }
 
 // Document is the answer on PathDocument.
