A request that crashes back ends in the middle of its answers is found as well; restarts forget nothing

Cause: the answer was taken for whole as soon as its head was there, which cleared the request of all suspicion, and a body that broke off was not noted as lost. Ruled out: the store and gossip as causes, by taking each away: the new test of restarts then fails (502 in place of 503), so that each is needed. Change: the end of the body decides; a test with crashes in the middle of answers, and one in which a node starts again with the store silent and then all nodes start again at once.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -16,8 +16,11 @@
 	"github.com/loomcleat/loomcleat/internal/standin/metastore"
 )
 
-// crashingPath is that of a request which ends every back end that runs it.
-const crashingPath = "/front/crash"
+// Paths of requests which end every back end that runs them.
+const (
+	crashingPath     = "/front/crash"
+	lateCrashingPath = "/front/crash-late" // in the middle of the answer
+)
 
 // Times of the back ends of these tests.
 const (
@@ -35,6 +38,7 @@
 	node    *platformNode
 	address string
 	starts  int
+	stub    *metastore.Server
 
 	mutex   sync.Mutex
 	server  *httptest.Server
@@ -52,7 +56,7 @@
 	stub.Put("op/config", platformConfiguration(3, "front"))
 	backends := []*crashingBackend{}
 	for range count {
-		b := &crashingBackend{t: t, address: freePort(t), node: newPlatformNode(t, "front")}
+		b := &crashingBackend{t: t, address: freePort(t), node: newPlatformNode(t, "front"), stub: stub}
 		b.begin()
 		b.node.startBeside(t, store.URL, b.address)
 		t.Cleanup(b.close)
@@ -84,7 +88,13 @@
 }
 
 func (b *crashingBackend) serve(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != crashingPath {
+	switch r.URL.Path {
+	case crashingPath:
+	case lateCrashingPath:
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("Content-Length", "64000")
+		_, _ = w.Write(make([]byte, 32000))
+	default:
 		time.Sleep(usualWork)
 		b.node.serveBackend(w, r)
 		return
@@ -153,12 +163,12 @@
 	return count
 }
 
-// sendAgainAndAgain sends the crashing request to each node in turn for a time, as a
+// sendAgainAndAgain sends a crashing request to each node in turn for a time, as a
 // caller does that gets no answer, and returns how often it was refused as not run.
-func sendAgainAndAgain(backends []*crashingBackend, duration time.Duration) (refused int) {
+func sendAgainAndAgain(backends []*crashingBackend, path string, duration time.Duration) (refused int) {
 	end := time.Now().Add(duration)
 	for i := 0; time.Now().Before(end); i++ {
-		if backends[i%len(backends)].node.get(crashingPath, "").status == http.StatusServiceUnavailable {
+		if backends[i%len(backends)].node.get(path, "").status == http.StatusServiceUnavailable {
 			refused++
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -183,20 +193,76 @@
 // What settled it: the lines backend-crashed (419) of the nodes, in which the same
 // signature stands for every incarnation that ended, while the others change.
 func TestARequestThatCrashesBackEndsIsStopped(t *testing.T) {
-	is := is.New(t)
-	backends := startCrashingBackends(t, 4)
-	refused := sendAgainAndAgain(backends, 2*knownAfter)
-	count, third := crashesOf(backends)
-	is.True(count >= 3)                                        // it does crash them
-	is.Equal(reachedAfter(backends, third.Add(knownAfter)), 0) // and is known everywhere in time
-	is.True(count <= 8)                                        // 3, and what was on its way meanwhile
-	is.True(refused > 0)                                       // as not run
-
-	// The other requests of the service are served.
+	for _, path := range []string{crashingPath, lateCrashingPath} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			backends := startCrashingBackends(t, 4)
+			refused := sendAgainAndAgain(backends, path, 2*knownAfter)
+			count, third := crashesOf(backends)
+			is.True(count >= 3)                                        // it does crash them
+			is.Equal(reachedAfter(backends, third.Add(knownAfter)), 0) // and is known everywhere in time
+			is.True(count <= 8)                                        // 3, and what was on its way meanwhile
+			is.True(refused > 0)                                       // as not run
+
+			// The other requests of the service are served.
+			for _, b := range backends {
+				b.node.served(t, "/front/x", "")
+				is.True(!strings.Contains(b.node.log.String(), "request-panic"))
+			}
+		})
+	}
+}
+
+// crashThree sends the crashing request until three back ends have ended, and waits until
+// it is refused everywhere and all back ends are there again.
+func crashThree(t *testing.T, backends []*crashingBackend) {
+	t.Helper()
+	until(t, "three back ends to end", func() bool {
+		backends[0].node.get(crashingPath, "")
+		count, _ := crashesOf(backends)
+		return count >= 3
+	})
 	for _, b := range backends {
 		b.node.served(t, "/front/x", "")
+		until(t, "the request to be refused", func() bool {
+			return b.node.get(crashingPath, "").status == http.StatusServiceUnavailable
+		})
+	}
+	time.Sleep(knownAfter) // what is written to the store may take a moment
+}
+
+// TestAQuarantineOutlastsRestarts: a node that is started again learns from its peers what
+// crashes back ends, also while the store is silent, and all that are started anew learn
+// it from the store. Each knowing nothing, they would lose three more back ends.
+func TestAQuarantineOutlastsRestarts(t *testing.T) {
+	is := is.New(t)
+	backends := startCrashingBackends(t, 3)
+	crashThree(t, backends)
+	before, _ := crashesOf(backends)
+	refusedBy := func(b *crashingBackend) {
+		until(t, "readiness", func() bool { return b.node.ready() == http.StatusOK })
+		is.Equal(b.node.beat("ready"), http.StatusOK)
+		b.node.served(t, "/front/x", "")
+		time.Sleep(knownAfter)
+		is.Equal(b.node.get(crashingPath, "").status, http.StatusServiceUnavailable)
+	}
+
+	stub := backends[0].stub
+	stub.SetFaults(metastore.Faults{Silent: true})
+	backends[0].node.kill()
+	backends[0].node.startAgain()
+	refusedBy(backends[0])
+	stub.SetFaults(metastore.Faults{})
+
+	for _, b := range backends {
+		b.node.kill()
+	}
+	for _, b := range backends {
+		b.node.startAgain()
 	}
 	for _, b := range backends {
-		is.True(!strings.Contains(b.node.log.String(), "request-panic"))
+		refusedBy(b)
 	}
+	after, _ := crashesOf(backends)
+	is.Equal(after, before) // no back end was lost by it
 }
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -25,6 +25,7 @@
 type platformNode struct {
 	*program
 	service, outbound, readiness, heartbeats string
+	file                                     string // of its settings
 	control                                  string
 	instance                                 atomic.Pointer[string] // the incarnation of the back end
 	sequence                                 atomic.Int64
@@ -113,11 +114,16 @@
 		"log: {format: json}",
 	}
 	lines = append(lines, more...)
-	file := filepath.Join(t.TempDir(), "node.yaml")
-	if err := os.WriteFile(file, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+	n.file = filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(n.file, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n.program = start(t, "node "+n.service, "loomcleat", "node", "--config", file)
+	n.program = start(t, "node "+n.service, "loomcleat", "node", "--config", n.file)
+}
+
+// startAgain starts the process anew, after it has ended.
+func (n *platformNode) startAgain() {
+	n.program = start(n.t, "node "+n.service, "loomcleat", "node", "--config", n.file)
 }
 
 // beat sends a heartbeat and returns the status of its answer, 0 for none.
--- a/plugin/quarantine/attempt.go
+++ b/plugin/quarantine/attempt.go
@@ -13,35 +13,53 @@
 
 // middleware keeps a request that crashes what runs it from taking all back ends of its
 // service, again and again, with all the other requests that these work on: neither the
-// process that repeats an attempt nor the caller that tries again can know. It stands right before the back end, so that what became known while a request
-// waited counts.
+// process that repeats an attempt nor the caller that tries again can know. It stands right before
+// the back end, so that what became known while a request waited counts.
 func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
-		if !p.watching.Load() {
-			return p.hand(next, call)
-		}
-		signature := call.Signature()
-		verdict, left := p.decide(signature)
-		switch verdict {
-		case quarantine.Refuse:
+		verdict, left := p.decide(call)
+		if verdict == quarantine.Refuse {
 			return nil, result.New(result.RequestQuarantined, "back ends crashed under this request").WithRetryAfter(left)
-		case quarantine.Try:
-			defer p.tried(signature)
 		}
-		answer, err := p.hand(next, call)
-		if err == nil {
-			p.answered(signature)
+		answer, err := next.Handle(call)
+		if err != nil {
+			return nil, p.finished(call, verdict, result.From(err))
 		}
-		return answer, err
+		answer.Body = &answerBody{ReadCloser: answer.Body, plugin: p, call: call, verdict: verdict}
+		return answer, nil
 	})
 }
 
-func (p *plugin) decide(signature quarantine.Signature) (quarantine.Verdict, time.Duration) {
+// decide says what is to be done with a call. While no request is under suspicion, which
+// is nearly always, that costs nothing.
+func (p *plugin) decide(call *kernel.Call) (quarantine.Verdict, time.Duration) {
+	if !p.watching.Load() {
+		return quarantine.Admit, 0
+	}
+	signature := call.Signature()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.ledger.Decide(time.Now(), signature, func() bool { return p.makesTrials(signature) })
 }
 
+// finished takes note of how a call ended, nil for a whole answer, and returns what its
+// caller is told.
+func (p *plugin) finished(call *kernel.Call, verdict quarantine.Verdict, err *result.Error) error {
+	if verdict == quarantine.Try {
+		defer p.tried(call.Signature())
+	}
+	if err != nil {
+		return p.noteLoss(call, err)
+	}
+	if call.Instance == "" && p.unnamedEnded.CompareAndSwap(true, false) {
+		p.unnamed.Add(1)
+	}
+	if p.watching.Load() {
+		p.answered(call.Signature())
+	}
+	return nil
+}
+
 // makesTrials reports whether this process is the one, of the nodes of its service, that
 // lets a request through for a trial.
 func (p *plugin) makesTrials(signature quarantine.Signature) bool {
@@ -73,18 +91,6 @@
 	go p.tell(cleared)
 }
 
-// hand passes a call on and notes when it is lost.
-func (p *plugin) hand(next kernel.Handler, call *kernel.Call) (*kernel.Answer, error) {
-	answer, err := next.Handle(call)
-	if err == nil {
-		if call.Instance == "" && p.unnamedEnded.CompareAndSwap(true, false) {
-			p.unnamed.Add(1)
-		}
-		return answer, nil
-	}
-	return nil, p.noteLoss(call, result.From(err))
-}
-
 // noteLoss remembers a request that was handed to the back end and ended without an
 // answer, and returns what its caller is told. A back end that has said that it leaves
 // may end with requests in flight.
