The test of the crashing request has others in flight; who told of a crash is named by its id

Cause: a test without bystanders could not show that they go free, nor that the crash lines tell the guilty one apart. Ruled out: that bystanders are refused (0 of all that were sent).

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+	"github.com/loomcleat/loomcleat/result"
 )
 
 // Paths of requests which end every back end that runs them.
@@ -176,6 +178,34 @@
 	return refused
 }
 
+// sendOthers keeps other requests in flight at every node until it is told to stop, which
+// returns how many of them were refused for crashing back ends.
+func sendOthers(backends []*crashingBackend) (stop func() int) {
+	quarantined := atomic.Int64{}
+	stopped := make(chan struct{})
+	senders := sync.WaitGroup{}
+	for i, b := range backends {
+		senders.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				answer := b.node.get(fmt.Sprintf("/front/%d/%d", i, n), "")
+				if strings.Contains(answer.body, result.RequestQuarantined.Definition().Name) {
+					quarantined.Add(1)
+				}
+			}
+		})
+	}
+	return func() int {
+		close(stopped)
+		senders.Wait()
+		return int(quarantined.Load())
+	}
+}
+
 // TestARequestThatCrashesBackEndsIsStopped
 //
 // Symptom: all back ends of a service end within a fraction of a second, are back after
@@ -197,7 +227,9 @@
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
 			backends := startCrashingBackends(t, 4)
+			stopBystanders := sendOthers(backends)
 			refused := sendAgainAndAgain(backends, path, 2*knownAfter)
+			is.Equal(stopBystanders(), 0) // none was taken for the one that crashes
 			count, third := crashesOf(backends)
 			is.True(count >= 3)                                        // it does crash them
 			is.Equal(reachedAfter(backends, third.Add(knownAfter)), 0) // and is known everywhere in time
--- a/plugin/quarantine/peers.go
+++ b/plugin/quarantine/peers.go
@@ -29,7 +29,7 @@
 // tell sends what is known of crashes to all processes, those of the own service first:
 // their back ends are the next to run the request.
 func (p *plugin) tell(crashes []quarantine.Crash) {
-	message := wire.Crashes{Crashes: crashes}
+	message := wire.Crashes{From: p.process.ID, Crashes: crashes}
 	slots := make(chan struct{}, tellAtOnce)
 	pending := sync.WaitGroup{}
 	for _, member := range p.audience() {
@@ -66,14 +66,14 @@
 	if !kernel.ReadJSON(w, r, &message) {
 		return
 	}
-	p.learn(time.Now(), message.Crashes, r.RemoteAddr)
+	p.learn(time.Now(), message.Crashes, message.From)
 	kernel.WriteJSON(w, wire.Empty{})
 }
 
 // serveCrashes tells another process all that is known here.
 func (p *plugin) serveCrashes(w http.ResponseWriter, _ *http.Request) {
 	p.mutex.Lock()
-	answer := wire.Crashes{Crashes: p.ledger.All(time.Now())}
+	answer := wire.Crashes{From: p.process.ID, Crashes: p.ledger.All(time.Now())}
 	p.mutex.Unlock()
 	kernel.WriteJSON(w, answer)
 }
@@ -127,5 +127,5 @@
 	if err := p.process.Control.Invoke(ctx, peer, http.MethodGet, wire.PathQuarantine, nil, &answer); err != nil {
 		return // another message of any peer tries again
 	}
-	p.learn(time.Now(), answer.Crashes, peer)
+	p.learn(time.Now(), answer.Crashes, answer.From)
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -70,6 +70,8 @@
 // Crashes tells what is known of crashes of back ends on PathQuarantine, and lies in the
 // store for requests that are in quarantine.
 type Crashes struct {
+	// From is the id of the process that tells them, "" in the store.
+	From    string             `json:"from,omitempty"`
 	Crashes []quarantine.Crash `json:"crashes"`
 }
 
