--- /dev/null
+++ b/clock/check_linux.go
@@ -0,0 +1,10 @@
+package clock
+
+import "github.com/loomcleat/loomcleat/result"
+
+func checkBootClock() error {
+	if bootNanoseconds() < 0 {
+		return result.New(result.SettingsInvalid, "the kernel has no CLOCK_BOOTTIME, so that suspensions of the machine can't be seen")
+	}
+	return nil
+}
--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,40 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestTheMachineHasTheClock(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(Check())
+	before := Now()
+	time.Sleep(2 * time.Millisecond)
+	passed := Now().Sub(before)
+	is.True(passed >= 2*time.Millisecond)
+	is.True(Now().Add(time.Hour).Left() > 59*time.Minute)
+}
+
+func TestASuspensionCounts(t *testing.T) {
+	is := is.New(t)
+	now := Instant(1000)
+	defer Replace(func() Instant { return now })()
+	deadline := Now().Add(2 * time.Second)
+	is.Equal(deadline.Left(), 2*time.Second)
+	now = now.Add(30 * time.Second) // suspended
+	is.Equal(deadline.Left(), -28*time.Second)
+	is.Equal(Now().Time().Sub(deadline.Time()), 28*time.Second)
+}
+
+// Of three ways on one machine, busy with other work: time.Now alone 73 to 79 ns; this
+// clock by the C library 69 to 100 ns, by a system call 157 to 176 ns; comparing the two
+// readings of time.Now, and reading this clock only when their difference moves, 75 to 99 ns,
+// but a step of the time of day that equals a suspension hides it.
+func BenchmarkNow(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		Now()
+	}
+}
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -82,7 +82,10 @@
 func start(t *testing.T, name, binary string, arguments ...string) *program {
 	t.Helper()
 	p := &program{t: t, name: name, log: &syncBuffer{}, exited: make(chan struct{})}
-	p.cmd = exec.Command(filepath.Join(binaries, binary), arguments...)
+	if !filepath.IsAbs(binary) {
+		binary = filepath.Join(binaries, binary)
+	}
+	p.cmd = exec.Command(binary, arguments...)
 	p.cmd.Stderr, p.cmd.Stdout = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -26,6 +26,7 @@
 	*program
 	service, outbound, readiness, heartbeats string
 	file                                     string // of its settings
+	binary                                   string // name in the folder of the built programs, or a path
 	control                                  string
 	instance                                 atomic.Pointer[string] // the incarnation of the back end
 	sequence                                 atomic.Int64
@@ -93,6 +94,7 @@
 		readiness:  freePort(t),
 		heartbeats: freePort(t),
 		control:    freePort(t),
+		binary:     "loomcleat",
 	}
 	n.setInstance("i-" + service)
 	return n
@@ -118,12 +120,12 @@
 	if err := os.WriteFile(n.file, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n.program = start(t, "node "+n.service, "loomcleat", "node", "--config", n.file)
+	n.program = start(t, "node "+n.service, n.binary, "node", "--config", n.file)
 }
 
 // startAgain starts the process anew, after it has ended.
 func (n *platformNode) startAgain() {
-	n.program = start(n.t, "node "+n.service, "loomcleat", "node", "--config", n.file)
+	n.program = start(n.t, "node "+n.service, n.binary, "node", "--config", n.file)
 }
 
 // beat sends a heartbeat and returns the status of its answer, 0 for none.
