What must hold by the time of others counts the time in which a machine was suspended

Cause: ages and deadlines were readings of the steady clock, which stands still meanwhile. Change: deadlines of calls, proofs of the policy, quotas, claims, members, leaving back ends, quarantine and idle connections go by clock.Now; latencies, pressure and retry windows stay steady; before a request is handed to the back end its time is looked at once more; event 109 and a metric; no start without the clock.

--- a/event/events.go
+++ b/event/events.go
@@ -19,6 +19,7 @@
 	LibraryMessage   Number = 106
 	SettingsReloaded Number = 107
 	ReloadFailed     Number = 108
+	MachineSuspended Number = 109
 )
 
 // Events of policy distribution.
@@ -105,6 +106,7 @@
 	{LibraryMessage, "library-message", "info", "A message of the HTTP framework."},
 	{SettingsReloaded, "settings-reloaded", "info", "The settings file was read again; the line names the keys that changed and those that wait for a restart."},
 	{ReloadFailed, "reload-failed", "error", "The settings file was read again and is not valid; the settings before it stay in force."},
+	{MachineSuspended, "machine-suspended", "warn", "The machine was suspended; ages and deadlines count that time."},
 	{DocumentAdopted, "document-adopted", "info", "A higher revision of the policy tree or of the claim groups is in force in this process."},
 	{DocumentRejected, "document-rejected", "error", "A policy tree or claim groups document failed its check; the revision before it stays in force."},
 	{StoreUnreachable, "store-unreachable", "warn", "The key-value store does not answer; the last policy stays in force and the read is retried."},
--- a/internal/exchange/client_test.go
+++ b/internal/exchange/client_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/clock"
 )
 
 // patience bounds each test.
@@ -361,7 +363,7 @@
 			near, far := net.Pipe()
 			defer far.Close()
 			kept := &conn{Conn: near, address: "a"}
-			before := time.Now()
+			before := clock.Now()
 			p.put(kept, keepAliveOf(header))
 			is.True(kept.expires.Sub(before).Round(time.Second) == c.lifetime)
 		})
@@ -380,7 +382,7 @@
 	is.Equal(len(p.byAddress["a"]), 2)
 	_, err := ends[2].Read(make([]byte, 1))
 	is.Equal(err, io.EOF) // there was no room for it
-	p.byAddress["a"][0].expires = time.Now().Add(-time.Second)
+	p.byAddress["a"][0].expires = clock.Now().Add(-time.Second)
 	p.sweep()
 	is.Equal(len(p.byAddress["a"]), 1)
 	_, err = ends[0].Read(make([]byte, 1))
@@ -388,3 +390,16 @@
 	is.True(p.take("a") != nil)
 	is.True(p.take("a") == nil)
 }
+
+// TestConnectionsExpireDuringASuspension: the other side has closed them meanwhile, or is
+// gone, and nothing has told so.
+func TestConnectionsExpireDuringASuspension(t *testing.T) {
+	is := is.New(t)
+	p := &pool{most: 2, timeout: time.Minute, byAddress: map[string][]*conn{}}
+	near, far := net.Pipe()
+	defer far.Close()
+	p.put(&conn{Conn: near, address: "a"}, 0)
+	now := clock.Now().Add(2 * time.Minute)
+	defer clock.Replace(func() clock.Instant { return now })()
+	is.True(p.take("a") == nil)
+}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/loomcleat/loomcleat/clock"
 )
 
 // conn is a connection on which one exchange takes place at a time.
@@ -20,8 +22,8 @@
 	net.Conn
 	address string
 	pool    *pool
-	expires time.Time // while it is idle
-	served  int       // exchanges that have ended well
+	expires clock.Instant // while it is idle
+	served  int           // exchanges that have ended well
 
 	// Of the exchange that is under way.
 	written atomic.Int64  // bytes of the request
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/internal/socket"
 )
 
@@ -25,7 +26,7 @@
 		if kept == nil {
 			return nil
 		}
-		if time.Now().Before(kept.expires) && socket.Quiet(kept.Conn) {
+		if kept.expires.Left() > 0 && socket.Quiet(kept.Conn) {
 			return kept
 		}
 		_ = kept.Close()
@@ -57,7 +58,7 @@
 	if keepAlive > 0 {
 		lifetime = min(lifetime, keepAlive)
 	}
-	used.expires = time.Now().Add(lifetime)
+	used.expires = clock.Now().Add(lifetime)
 	p.mutex.Lock()
 	full := len(p.byAddress[used.address]) >= p.most
 	if !full {
@@ -85,14 +86,14 @@
 
 // sweep closes expired connections.
 func (p *pool) sweep() {
-	now := time.Now()
+	now := clock.Now()
 	expired := []*conn{}
 	p.mutex.Lock()
 	p.sweeping = false
 	for address, kept := range p.byAddress {
 		alive := kept[:0]
 		for _, one := range kept {
-			if now.Before(one.expires) {
+			if now < one.expires {
 				alive = append(alive, one)
 			} else {
 				expired = append(expired, one)
--- a/kernel/account.go
+++ b/kernel/account.go
@@ -54,7 +54,7 @@
 		"path", call.Policy.Path,
 		"hops", call.Hops,
 		"priority", call.Priority,
-		"left_ms", time.Until(call.Deadline).Milliseconds(),
+		"left_ms", call.Deadline.Left().Milliseconds(),
 		"pressure", call.Pressure,
 		"tried", call.Tried,
 		"signature", call.Signature().String(),
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/retrybudget"
@@ -50,8 +51,9 @@
 	Attempt string
 	// Priority is the priority of the user request.
 	Priority int
-	// Deadline is when the answer must be complete.
-	Deadline time.Time
+	// Deadline is when the answer must be complete, counting the time in which the machine
+	// is suspended.
+	Deadline clock.Instant
 	// Budget holds the retries that may be spent for the user request here.
 	Budget *retrybudget.Account
 	// ClaimKey is the key under which the call may run at most once. Zero for
--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -16,6 +16,7 @@
 	Ahead   atomic.Int64
 	// LoadsNotUnderstood counts answers of the back end with a load that makes no sense.
 	LoadsNotUnderstood atomic.Int64
+	Suspended          atomic.Int64 // milliseconds
 	ControlSent        atomic.Int64 // bytes
 	ControlReceived    atomic.Int64 // bytes
 	ControlMessages    atomic.Int64 // sent
@@ -47,6 +48,7 @@
 		counterOf("loomcleat_retries_total", "Attempts after the first one that this process made.", &c.Retries),
 		counterOf("loomcleat_requests_ahead_total", "Requests that were served before their turn on a caller's connection.", &c.Ahead),
 		counterOf("loomcleat_loads_not_understood_total", "Answers of the back end with a load that makes no sense.", &c.LoadsNotUnderstood),
+		counterOf("loomcleat_suspended_milliseconds_total", "Time in which the machine was suspended.", &c.Suspended),
 		counterOf("loomcleat_control_sent_bytes_total", "Bytes written on control connections.", &c.ControlSent),
 		counterOf("loomcleat_control_received_bytes_total", "Bytes read on control connections.", &c.ControlReceived),
 		counterOf("loomcleat_control_messages_total", "Control messages sent.", &c.ControlMessages),
--- a/kernel/execution.go
+++ b/kernel/execution.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/retrybudget"
 )
 
@@ -17,7 +18,7 @@
 	Request  string
 	Identity string // names this execution for keys of calls that it makes
 	Priority int
-	Deadline time.Time
+	Deadline clock.Instant
 	Budget   *retrybudget.Account
 	Hops     int
 	// RequestID is the caller's name for the request, "" when it has none.
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/retrybudget"
@@ -81,7 +82,7 @@
 		call.Priority = 0
 		return nil
 	}
-	call.Deadline = time.Now().Add(told.Remaining)
+	call.Deadline = clock.Now().Add(told.Remaining)
 	call.Priority = min(max(told.Priority, 0), admission.MaximumPriority)
 	call.Budget = retrybudget.Open(min(told.Budget, policy.MaximumRetryBudget))
 	call.Hops = told.Hops
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -20,6 +20,7 @@
 	p.servers.start(p, failed)
 	go p.Loop.run(p.context)
 	go p.waitReady()
+	go p.watchSuspensions(p.context)
 	for _, run := range p.onStart {
 		go run(p.context)
 	}
--- a/kernel/loop.go
+++ b/kernel/loop.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/result"
 )
 
-// Task is a step of the control loop. It must not block.
+// Task is a step of the control loop. It must not block. now is a reading of clock.Now,
+// which counts suspensions: what the loop owns must hold by the time of others.
 type Task func(now time.Time)
 
 // Loop is the one goroutine that owns the control state of a process. All
@@ -91,7 +93,7 @@
 	for {
 		select {
 		case task := <-l.tasks:
-			task(time.Now())
+			task(clock.Now().Time())
 		case <-ctx.Done():
 			return
 		}
--- a/kernel/outbound.go
+++ b/kernel/outbound.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/retrybudget"
 	"github.com/loomcleat/loomcleat/wire"
@@ -147,24 +147,16 @@
 	call.Budget = execution.Budget
 	call.Hops = execution.Hops + 1
 	call.Repeat = execution.Repeat
-	call.Deadline = earlier(execution.Deadline, p.deadlineOf(call))
+	call.Deadline = min(execution.Deadline, p.deadlineOf(call))
 }
 
 // deadlineOf returns when a call ends by its policy and by what its caller says,
 // which it notes.
-func (p *Process) deadlineOf(call *Call) time.Time {
-	now := time.Now()
+func (p *Process) deadlineOf(call *Call) clock.Instant {
 	limit := call.Policy.Deadline
 	if left, told := p.Dialect.ReadRemaining(call.Header); told {
 		call.Patience = left
 		limit = min(limit, left)
 	}
-	return now.Add(limit)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+	return clock.Now().Add(limit)
 }
--- a/kernel/outbound_test.go
+++ b/kernel/outbound_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
@@ -37,7 +38,7 @@
 	p.ready.Store(true)
 	p.executions.add(&Execution{
 		RequestID: "parent", Request: "user", Priority: 900, Repeat: true, Hops: 1,
-		Budget: retrybudget.Open(1), Deadline: time.Now().Add(time.Second),
+		Budget: retrybudget.Open(1), Deadline: clock.Now().Add(time.Second),
 	})
 	return p
 }
@@ -58,14 +59,14 @@
 	is.NoErr(err)
 	is.Equal(call.Service, "s")
 	is.True(call.External && call.Routed && !call.Committed())
-	is.True(time.Until(call.Deadline) <= 500*time.Millisecond) // what the caller waits, below the route's timeout
+	is.True(call.Deadline.Left() <= 500*time.Millisecond) // what the caller waits, below the route's timeout
 	is.Equal(call.Patience, 500*time.Millisecond)
 	is.Equal(call.Header.Get("From"), "own")         // not what the caller said
 	is.Equal(call.Header.Get(wire.HeaderCall), "")   // nor that
 	is.Equal(call.Priority/256, int(policy.Default)) // the route's class
 	call, err = entryProcess().entryCall(entryRequest("/a/x", "first", "60000"))
 	is.NoErr(err)
-	is.True(time.Until(call.Deadline) <= 2*time.Second) // the route's timeout
+	is.True(call.Deadline.Left() <= 2*time.Second) // the route's timeout
 }
 
 func TestEntryCallOfARequestInProgress(t *testing.T) {
@@ -76,7 +77,7 @@
 	is.Equal(call.Request, "user")
 	is.Equal(call.Priority, 900)
 	is.Equal(call.Hops, 2)
-	is.True(time.Until(call.Deadline) <= time.Second) // it ends with its parent
+	is.True(call.Deadline.Left() <= time.Second) // it ends with its parent
 
 	call, err = entryProcess().entryCall(entryRequest("/a/x", "unknown/1", "5000"))
 	is.NoErr(err)
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/policy"
@@ -87,7 +88,7 @@
 
 // MachineState is one reading of the machine list.
 type MachineState struct {
-	At       time.Time
+	At       clock.Instant
 	Machines []store.Machine
 }
 
@@ -105,6 +106,9 @@
 // New binds the listeners of a process and sets up its plug-ins. Nothing is
 // served before Start.
 func New(options Options) (*Process, error) {
+	if err := clock.Check(); err != nil {
+		return nil, err
+	}
 	p := &Process{
 		Settings: options.Settings,
 		ID:       newProcessID(options.Settings),
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -28,7 +28,7 @@
 	call, err := build(r)
 	if err == nil {
 		var cancel context.CancelFunc
-		call.Context, cancel = context.WithDeadline(r.Context(), call.Deadline)
+		call.Context, cancel = context.WithTimeout(r.Context(), call.Deadline.Left())
 		defer cancel()
 		defer watchPeer(r, cancel)()
 		if call.Inbound {
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -162,7 +162,7 @@
 	verdicts := make(chan admission.Verdict, 1)
 	request := admission.Request{
 		Priority:  call.Priority,
-		Deadline:  call.Deadline,
+		Deadline:  time.Now().Add(call.Deadline.Left()), // by the clock that measures work
 		Committed: call.Committed(),
 		Patience:  call.Policy.TargetLatency / patienceShare,
 	}
--- a/plugin/configsync/freshness.go
+++ b/plugin/configsync/freshness.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/spread"
 	"github.com/loomcleat/loomcleat/wire"
@@ -30,7 +31,7 @@
 	}
 	s.freshnessLock.Lock()
 	defer s.freshnessLock.Unlock()
-	s.freshness.Vouched(time.Now(), time.Duration(revisions.Age)*time.Millisecond)
+	s.freshness.Vouched(clock.Now().Time(), time.Duration(revisions.Age)*time.Millisecond)
 }
 
 // provenByPeer takes the proof of a peer that this process asked for. A policy that is
@@ -54,7 +55,7 @@
 func (s *synchronizer) age() (time.Duration, bool) {
 	s.freshnessLock.Lock()
 	defer s.freshnessLock.Unlock()
-	return s.freshness.Age(time.Now())
+	return s.freshness.Age(clock.Now().Time())
 }
 
 // mustLook reports whether this process must look at the store itself, in a mesh
@@ -65,7 +66,7 @@
 	}
 	s.freshnessLock.Lock()
 	defer s.freshnessLock.Unlock()
-	return s.freshness.MustLook(time.Now(), size)
+	return s.freshness.MustLook(clock.Now().Time(), size)
 }
 
 // Where keys must stop working soon after they were taken away, a process seeks a newer
@@ -88,7 +89,7 @@
 	if revocation == 0 || !s.process.Policy.Load().Tenants().Required() {
 		return false
 	}
-	age, known := s.PolicyProof(time.Now())
+	age, known := s.PolicyProof(clock.Now().Time())
 	return !known || age > time.Duration(share*float64(revocation))
 }
 
@@ -113,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
 	var revisions wire.Revisions
-	asked := time.Now()
+	asked := clock.Now().Time()
 	if err := s.process.Control.Invoke(ctx, address, http.MethodGet, wire.PathRevisions, nil, &revisions); err != nil {
 		return // another one is asked next; what follows from an old proof is logged with each refusal
 	}
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
@@ -97,7 +98,7 @@
 	if age, known := s.age(); known {
 		revisions.Age = max(age.Milliseconds(), 1)
 	}
-	if age, known := s.PolicyProof(time.Now()); known {
+	if age, known := s.PolicyProof(clock.Now().Time()); known {
 		revisions.ProvenAge = age.Milliseconds() + 1 // rounded up, so that it stays a bound
 	}
 	// After the proof: one of a newer policy would be taken for one of this policy.
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
@@ -107,7 +108,7 @@
 // once reads the document, or waits for its next change, and moves the position.
 func (w *watcher) once(ctx context.Context) error {
 	s, d := w.synchronizer, w.document
-	asked := time.Now()
+	asked := clock.Now().Time()
 	proven := asked
 	if w.position > 0 {
 		proven = asked.Add(-maximumWatchLag)
--- a/plugin/deadline/setup.go
+++ b/plugin/deadline/setup.go
@@ -23,7 +23,7 @@
 
 func refuse(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
-		if time.Until(call.Deadline) < minimumRemaining {
+		if call.Deadline.Left() < minimumRemaining {
 			return nil, result.New(result.DeadlineTooShort, "no time is left for the request")
 		}
 		return next.Handle(call)
--- a/plugin/forward/setup.go
+++ b/plugin/forward/setup.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
@@ -55,7 +56,11 @@
 	if err != nil {
 		return nil, err
 	}
-	f.process.Dialect.WriteRemaining(call.Header, time.Until(call.Deadline))
+	left := call.Deadline.Left()
+	if left <= 0 {
+		return nil, result.New(result.DeadlineTooShort, "the time of the request ran out while it was on its way to the back end")
+	}
+	f.process.Dialect.WriteRemaining(call.Header, left)
 	response, err := f.transmitter.Send(call.Context, call, f.process.Settings.Backend, call.Header)
 	if err != nil {
 		if result.From(err).Code == result.BackendUnreachable {
@@ -103,7 +108,7 @@
 		return "", nil
 	}
 	state := f.process.BackEnd.State()
-	if !state.Open(time.Now()) {
+	if !state.Open(clock.Now().Time()) {
 		return "", result.New(result.BackendLeft, "the back end %q left while the request waited", state.ID)
 	}
 	if header := f.process.Dialect.ExpectInstance; header != "" {
--- a/plugin/instance/setup.go
+++ b/plugin/instance/setup.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
@@ -125,7 +126,7 @@
 func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
 		state := p.State()
-		if !state.Open(time.Now()) {
+		if !state.Open(clock.Now().Time()) {
 			return nil, result.New(result.BackendLeft, "the back end %q of this node takes no more requests", state.ID).WithRetryAfter(retryAfter)
 		}
 		return next.Handle(call)
--- a/plugin/membership/machines.go
+++ b/plugin/membership/machines.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -65,7 +66,7 @@
 }
 
 func (m *mesh) use(ctx context.Context, machines []store.Machine) {
-	m.process.MachineState.Store(&kernel.MachineState{At: time.Now(), Machines: machines})
+	m.process.MachineState.Store(&kernel.MachineState{At: clock.Now(), Machines: machines})
 	seeds := append([]string{}, m.process.Settings.Seeds...)
 	leaving := map[string]bool{}
 	for _, machine := range machines {
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -41,7 +42,7 @@
 		ProbeTimeout:  m.timeout,
 		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		OnChange:      m.logChange,
-	}, process.Started)
+	}, clock.Now().Time())
 	m.machine.SetSeeds(process.Settings.Seeds)
 	process.Mesh = m
 	process.HandleControl("POST "+wire.PathGossip, m.serveGossip)
@@ -127,7 +128,7 @@
 	if send.Message.Kind == membership.PingThrough {
 		timeout *= 2 // the other process needs time for its own probe
 	}
-	asked := time.Now()
+	asked := clock.Now().Time()
 	reply, err := m.ask(send.To, send.Message, timeout)
 	m.process.Loop.Post(func(now time.Time) {
 		m.noteSilence(send, err)
--- a/plugin/once/once.go
+++ b/plugin/once/once.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
@@ -54,7 +55,7 @@
 // handle runs a call at most once.
 func (o *once) handle(next kernel.Handler, call *kernel.Call) (*kernel.Answer, error) {
 	for {
-		current, fresh := o.runs.begin(time.Now(), call.ClaimKey, call.Fingerprint)
+		current, fresh := o.runs.begin(clock.Now().Time(), call.ClaimKey, call.Fingerprint)
 		if !fresh {
 			again, answer, err := o.joinLocal(call, current)
 			if again {
@@ -97,7 +98,7 @@
 		}
 		return replay(won.answer)
 	}
-	if time.Since(won.asked) > o.process.Settings.ClaimRetention.Std()/2 {
+	if clock.Now().Sub(won.asked) > o.process.Settings.ClaimRetention.Std()/2 {
 		o.abandon(won.group, current)
 		return nil, result.New(result.ClaimUnavailable, "the claim became too old before the request could run").WithRetryAfter(refusalRetryAfter)
 	}
@@ -107,7 +108,7 @@
 // runClaimed hands the call to the back end. A caller that goes away does not
 // cancel it.
 func (o *once) runClaimed(next kernel.Handler, call *kernel.Call, current *run, group int) (*kernel.Answer, error) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(call.Context), call.Deadline)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(call.Context), call.Deadline.Left())
 	call.Context = ctx
 	answer, err := next.Handle(call)
 	if err != nil {
@@ -142,7 +143,7 @@
 type claimed struct {
 	granted bool
 	group   int
-	asked   time.Time
+	asked   clock.Instant
 	answer  *claims.Answer // of the earlier run, when not granted
 }
 
@@ -155,10 +156,7 @@
 // claim asks for the key until it is decided.
 func (o *once) claim(call *kernel.Call, current *run) (claimed, error) {
 	progress := claimProgress{}
-	giveUp := time.Now().Add(claimPatience)
-	if call.Deadline.Before(giveUp) {
-		giveUp = call.Deadline
-	}
+	giveUp := min(clock.Now().Add(claimPatience), call.Deadline)
 	for {
 		outcome, err := o.claimOnce(call, current, &progress)
 		if err != nil || outcome != nil {
@@ -167,7 +165,7 @@
 			}
 			return *outcome, nil
 		}
-		if progress.hopeless >= claimRounds || time.Now().After(giveUp) || call.Context.Err() != nil {
+		if progress.hopeless >= claimRounds || giveUp.Left() < 0 || call.Context.Err() != nil {
 			return claimed{}, unavailable()
 		}
 		kernel.Pause(call.Context, claimBackoff+rand.N(claimBackoff))
@@ -197,7 +195,7 @@
 	id := uuid.NewString()
 	current.setID(id)
 	claim := claims.Claim{Key: call.ClaimKey, Fingerprint: call.Fingerprint, Run: id, Runner: o.self, Abandoned: progress.abandoned}
-	asked := time.Now()
+	asked := clock.Now()
 	round := o.askReplicas(call.Context, index, document.Groups[index], claim)
 	if round.Decision() == claims.Won {
 		return &claimed{granted: true, group: index, asked: asked}, nil
--- a/plugin/once/planner.go
+++ b/plugin/once/planner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/claims"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -151,7 +152,7 @@
 // recent reading is at hand.
 func (o *once) listedMachines() map[string]bool {
 	state := o.process.MachineState.Load()
-	if state == nil || time.Since(state.At) > machineStateAge {
+	if state == nil || clock.Now().Sub(state.At) > machineStateAge {
 		return nil
 	}
 	listed := map[string]bool{}
--- a/plugin/quarantine/attempt.go
+++ b/plugin/quarantine/attempt.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -39,7 +40,7 @@
 	signature := call.Signature()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.ledger.Decide(time.Now(), signature, func() bool { return p.makesTrials(signature) })
+	return p.ledger.Decide(clock.Now().Time(), signature, func() bool { return p.makesTrials(signature) })
 }
 
 // finished takes note of how a call ended, nil for a whole answer, and returns what its
@@ -81,7 +82,7 @@
 // answered tells all that a back end has answered a request that was under suspicion.
 func (p *plugin) answered(signature quarantine.Signature) {
 	p.mutex.Lock()
-	cleared := p.ledger.Answered(time.Now(), signature)
+	cleared := p.ledger.Answered(clock.Now().Time(), signature)
 	p.watching.Store(p.ledger.Watching())
 	p.mutex.Unlock()
 	if len(cleared) == 0 {
@@ -104,7 +105,7 @@
 		return err
 	}
 	signature := call.Signature()
-	now := time.Now()
+	now := clock.Now().Time()
 	broken := err.Code == result.ConnectionLost
 	p.mutex.Lock()
 	instance := p.incarnation(call)
@@ -168,7 +169,7 @@
 	p.process.Log.Emit(event.BackendCrashed, "backend", p.process.Settings.Backend, "instance", instance, "found", found,
 		"suspects", len(suspects), "signatures", suspects)
 	crashes := []quarantine.Crash{{ID: instance, Suspects: suspects}}
-	if p.learn(time.Now(), crashes, p.process.ID) {
+	if p.learn(clock.Now().Time(), crashes, p.process.ID) {
 		go p.tell(crashes)
 	}
 }
--- a/plugin/quarantine/peers.go
+++ b/plugin/quarantine/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/quarantine"
@@ -66,14 +67,14 @@
 	if !kernel.ReadJSON(w, r, &message) {
 		return
 	}
-	p.learn(time.Now(), message.Crashes, message.From)
+	p.learn(clock.Now().Time(), message.Crashes, message.From)
 	kernel.WriteJSON(w, wire.Empty{})
 }
 
 // serveCrashes tells another process all that is known here.
 func (p *plugin) serveCrashes(w http.ResponseWriter, _ *http.Request) {
 	p.mutex.Lock()
-	answer := wire.Crashes{From: p.process.ID, Crashes: p.ledger.All(time.Now())}
+	answer := wire.Crashes{From: p.process.ID, Crashes: p.ledger.All(clock.Now().Time())}
 	p.mutex.Unlock()
 	kernel.WriteJSON(w, answer)
 }
@@ -85,7 +86,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.ledger.Digest(time.Now())
+	return p.ledger.Digest(clock.Now().Time())
 }
 
 // Heard implements kernel.Quarantine: it fetches what the peer may know beyond what is
@@ -94,7 +95,7 @@
 	if digest == 0 || digest == p.Digest() || !p.pulling.CompareAndSwap(false, true) {
 		return
 	}
-	if !p.worthPulling(time.Now(), digest) {
+	if !p.worthPulling(clock.Now().Time(), digest) {
 		p.pulling.Store(false)
 		return
 	}
@@ -127,5 +128,5 @@
 	if err := p.process.Control.Invoke(ctx, peer, http.MethodGet, wire.PathQuarantine, nil, &answer); err != nil {
 		return // another message of any peer tries again
 	}
-	p.learn(time.Now(), answer.Crashes, answer.From)
+	p.learn(clock.Now().Time(), answer.Crashes, answer.From)
 }
--- a/plugin/quarantine/stored.go
+++ b/plugin/quarantine/stored.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/quarantine"
@@ -89,7 +90,7 @@
 		p.process.Log.Emit(event.QuarantineNotStored, "error", err)
 		return entry, nil // it is written anew
 	}
-	p.learn(time.Now(), stored.Crashes, "store")
+	p.learn(clock.Now().Time(), stored.Crashes, "store")
 	return entry, nil
 }
 
@@ -100,7 +101,7 @@
 		return false, err
 	}
 	p.mutex.Lock()
-	convicted := p.ledger.Convicted(time.Now())
+	convicted := p.ledger.Convicted(clock.Now().Time())
 	p.mutex.Unlock()
 	data, err := json.Marshal(wire.Crashes{Crashes: withoutAges(convicted)})
 	if err != nil {
--- a/plugin/quarantine/watch.go
+++ b/plugin/quarantine/watch.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/internal/socket"
 	"github.com/loomcleat/loomcleat/kernel"
 )
@@ -54,7 +55,7 @@
 			kernel.Pause(ctx, settleTime)
 		case <-looks:
 		}
-		if p.look(ctx, time.Now()) {
+		if p.look(ctx, clock.Now().Time()) {
 			ticker.Reset(lookInterval)
 			looks = ticker.C
 		} else {
--- a/plugin/quota/report.go
+++ b/plugin/quota/report.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -72,14 +73,14 @@
 
 // exchange makes one report and reports whether it was answered.
 func (k *keeper) exchange(ctx context.Context) bool {
-	coordinator, found := k.coordinator(time.Now())
+	coordinator, found := k.coordinator(clock.Now().Time())
 	if !found {
 		return true // nobody else is known: the next look is an interval away
 	}
 	k.mutex.Lock()
 	report := k.ledger.Begin(k.process.ID)
 	k.mutex.Unlock()
-	asked := time.Now()
+	asked := clock.Now().Time()
 	answer, err := k.ask(ctx, coordinator, report)
 	if err != nil {
 		k.failed(coordinator, asked, err)
@@ -99,7 +100,7 @@
 	k.mutex.Unlock()
 	k.avoided[coordinator.ID] = asked.Add(avoidTime)
 	k.last = ""
-	k.process.Log.Emit(event.QuotaUnanswered, "coordinator", coordinator.ID, "taken_ms", time.Since(asked).Milliseconds(), "error", err)
+	k.process.Log.Emit(event.QuotaUnanswered, "coordinator", coordinator.ID, "taken_ms", clock.Now().Time().Sub(asked).Milliseconds(), "error", err)
 }
 
 // logAnswer tells what an answer has changed.
@@ -122,7 +123,7 @@
 	defer cancel()
 	message := wire.QuotaReport{Report: report, Revisions: k.process.Documents.Revisions()}
 	var reply wire.QuotaAnswer
-	asked := time.Now()
+	asked := clock.Now().Time()
 	if err := k.client.Invoke(ctx, coordinator.Control, http.MethodPost, wire.PathQuota, &message, &reply); err != nil {
 		return quota.Answer{}, err
 	}
@@ -135,7 +136,7 @@
 // a moment ago is passed over.
 func (k *keeper) coordinator(now time.Time) (membership.Member, bool) {
 	members := *k.process.Members.Load()
-	if len(members) < 2 && now.Sub(k.process.Started) < joinTime {
+	if len(members) < 2 && time.Since(k.process.Started) < joinTime {
 		return membership.Member{}, false // it will know others in a moment
 	}
 	for _, id := range spread.Watchers(kernel.LiveIDs(members), len(members)) {
@@ -165,12 +166,12 @@
 func (k *keeper) receive(report quota.Report) quota.Answer {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.pool.Receive(time.Now(), report)
+	return k.pool.Receive(clock.Now().Time(), report)
 }
 
 // serveTenants tells operators what is known here of the quotas.
 func (k *keeper) serveTenants(w http.ResponseWriter, _ *http.Request) {
-	now := time.Now()
+	now := clock.Now().Time()
 	k.mutex.Lock()
 	answer := wire.Tenants{ID: k.process.ID, CutOff: k.ledger.CutOff(now), Quotas: k.ledger.States(now)}
 	k.mutex.Unlock()
--- a/plugin/quota/setup.go
+++ b/plugin/quota/setup.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/quota"
@@ -121,7 +122,7 @@
 func (k *keeper) admit(tenant string) quota.Decision {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.ledger.Admit(time.Now(), tenant)
+	return k.ledger.Admit(clock.Now().Time(), tenant)
 }
 
 func (k *keeper) refund(tenant string) {
@@ -169,7 +170,7 @@
 // countProcesses takes a new state of the mesh. It runs on the control loop.
 func (k *keeper) countProcesses(now time.Time, members []membership.Member) {
 	processes := k.census.count(now, members)
-	if now.Sub(k.process.Started) < joinTime {
+	if time.Since(k.process.Started) < joinTime {
 		processes = max(processes, leastProcesses)
 	}
 	k.setProcesses(processes)
--- a/plugin/retry/limiter_test.go
+++ b/plugin/retry/limiter_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
@@ -68,7 +69,7 @@
 				Service:  "s",
 				Body:     kernel.NewBufferedBody(nil),
 				Budget:   retrybudget.Open(c.budget),
-				Deadline: time.Now().Add(time.Minute),
+				Deadline: clock.Now().Add(time.Minute),
 				Policy:   policy.Effective{Repeatable: c.repeatable},
 			})
 			is.Equal(made, c.made)
--- a/plugin/retry/retry_test.go
+++ b/plugin/retry/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
@@ -78,7 +79,7 @@
 				Context:  context.Background(),
 				Body:     kernel.NewBufferedBody(nil),
 				Budget:   retrybudget.Open(c.budget),
-				Deadline: time.Now().Add(time.Minute),
+				Deadline: clock.Now().Add(time.Minute),
 				Policy:   policy.Effective{Repeatable: c.repeatable, RetryRatio: 1},
 			}
 			answer, err := handler.Handle(call)
@@ -102,10 +103,10 @@
 	r := &retrier{process: process, limiter: newLimiter(process)}
 	call := &kernel.Call{
 		Context: context.Background(), Body: kernel.NewBufferedBody(nil), Budget: retrybudget.Open(8),
-		Deadline: time.Now().Add(leastTimeElsewhere / 2), Policy: policy.Effective{Repeatable: true},
+		Deadline: clock.Now().Add(leastTimeElsewhere / 2), Policy: policy.Effective{Repeatable: true},
 	}
 	is.True(!r.mayRepeat(call, notRunFinal, result.New(result.DeadlineTooShort, "test"), 1))
-	call.Deadline = time.Now().Add(time.Minute)
+	call.Deadline = clock.Now().Add(time.Minute)
 	is.True(r.mayRepeat(call, notRunFinal, result.New(result.DeadlineTooShort, "test"), 1))
 	is.True(!r.mayRepeat(call, notRunFinal, result.New(result.ShedEarly, "test"), 1))
 }
@@ -143,7 +144,7 @@
 			}))
 			_, err := handler.Handle(&kernel.Call{
 				Context: context.Background(), Body: kernel.NewBufferedBody(nil), Budget: retrybudget.Open(0),
-				Deadline: time.Now().Add(c.left), Hops: c.hops, Policy: policy.Effective{Repeatable: true},
+				Deadline: clock.Now().Add(c.left), Hops: c.hops, Policy: policy.Effective{Repeatable: true},
 			})
 			is.Equal(err == nil, c.served)
 			if err != nil {
@@ -167,7 +168,7 @@
 	}))
 	_, err := handler.Handle(&kernel.Call{
 		Context: context.Background(), Body: kernel.NewBufferedBody(nil), Budget: retrybudget.Open(budget),
-		Deadline: time.Now().Add(time.Second), Hops: 1, Policy: policy.Effective{Repeatable: true, RetryRatio: 1},
+		Deadline: clock.Now().Add(time.Second), Hops: 1, Policy: policy.Effective{Repeatable: true, RetryRatio: 1},
 	})
 	is.True(err != nil)
 	is.True(made <= 1+budget)
--- a/plugin/retry/setup.go
+++ b/plugin/retry/setup.go
@@ -86,7 +86,7 @@
 func (r *retrier) mayWait(call *kernel.Call, seen outcome) bool {
 	notTaken := seen == notRun || seen == notRunFinal
 	return notTaken && r.limiter.offersAreFree() && call.Committed() && call.Body.Replayable() && call.Context.Err() == nil &&
-		time.Until(call.Deadline) > absencePause+leastTimeElsewhere
+		call.Deadline.Left() > absencePause+leastTimeElsewhere
 }
 
 // turnedAwayPressure is the pressure of a call that back ends turned away, and for
@@ -171,7 +171,7 @@
 // tooSlowThere reports whether a node refused a call since its back end is too slow for
 // the time that is left, which another one may not be.
 func tooSlowThere(call *kernel.Call, err error) bool {
-	return result.From(err).Code == result.DeadlineTooShort && time.Until(call.Deadline) > leastTimeElsewhere
+	return result.From(err).Code == result.DeadlineTooShort && call.Deadline.Left() > leastTimeElsewhere
 }
 
 // withRan marks the error of a request of which an attempt may have run, so
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -17,7 +17,7 @@
 	started := time.Now()
 	call.Attempt = r.process.NewIdentity()
 	loan := call.Budget.Lend()
-	header := r.header(call, loan, started)
+	header := r.header(call, loan)
 	if call.Execution != nil {
 		call.Execution.BeginChild(started)
 	}
@@ -76,7 +76,7 @@
 	if !call.Policy.Repeatable {
 		least = claimedAttemptTime
 	}
-	limit := min(time.Until(call.Deadline), max(attemptLatencies*balancer.Latency(target.ID), least))
+	limit := min(call.Deadline.Left(), max(attemptLatencies*balancer.Latency(target.ID), least))
 	timer := time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
 	return func() { timer.Stop() }
 }
@@ -109,13 +109,13 @@
 }
 
 // header builds the headers of an attempt.
-func (r *router) header(call *kernel.Call, loan int, now time.Time) http.Header {
+func (r *router) header(call *kernel.Call, loan int) http.Header {
 	told := wire.CallContext{
 		Service:   call.Service,
 		Request:   call.Request,
 		Attempt:   call.Attempt,
 		Priority:  call.Priority,
-		Remaining: call.Deadline.Sub(now),
+		Remaining: call.Deadline.Left(),
 		Budget:    loan,
 		Hops:      call.Hops,
 		Target:    call.Policy.TargetLatency,
--- a/plugin/routing/routing_test.go
+++ b/plugin/routing/routing_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/balance"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
@@ -89,7 +90,7 @@
 		Header:   http.Header{},
 		Body:     kernel.NewBufferedBody(nil),
 		Budget:   retrybudget.Open(0),
-		Deadline: deadline,
+		Deadline: clock.Now().Add(time.Until(deadline)),
 		Policy:   policy.Effective{Known: true},
 	}
 }
--- a/plugin/routing/setup.go
+++ b/plugin/routing/setup.go
@@ -43,7 +43,7 @@
 }
 
 // update takes a new state of the mesh. It runs on the control loop.
-func (r *router) update(now time.Time, members []membership.Member) {
+func (r *router) update(_ time.Time, members []membership.Member) {
 	targets := map[string][]balance.Target{}
 	for _, member := range members {
 		if member.Service == "" || member.Traffic == "" {
@@ -73,7 +73,7 @@
 	}
 	r.mutex.Unlock()
 	for service, balancer := range balancers {
-		balancer.Update(now, targets[service])
+		balancer.Update(time.Now(), targets[service]) // balancers measure work
 	}
 }
 
--- a/plugin/tenant/setup.go
+++ b/plugin/tenant/setup.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/admission"
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
@@ -108,7 +109,7 @@
 	if a.bound <= 0 {
 		return proof{holds: true}
 	}
-	age, known := a.proof(time.Now())
+	age, known := a.proof(clock.Now().Time())
 	return proof{age: age, known: known, holds: known && age <= a.bound}
 }
 
