Quarantine: what was cleared shows in gossip, and a planned end is no crash

Cause: found on reading. A process that knew of cleared requests alone showed an empty digest, so that one that was not reached held them for suspects; a back end that lost a request, then said that it leaves and was replaced within ten seconds counted as crashed. Ruled out: that either put an innocent request into quarantine by itself (three are needed). Change: the digest counts whatever is known; a doubt ends when the incarnation says that it leaves. Tests that fail first.

--- a/plugin/quarantine/attempt.go
+++ b/plugin/quarantine/attempt.go
@@ -14,8 +14,8 @@
 
 // middleware keeps a request that crashes what runs it from taking all back ends of its
 // service, again and again, with all the other requests that these work on: neither the
-// process that repeats an attempt nor the caller that tries again can know. It stands right before
-// the back end, so that what became known while a request waited counts.
+// process that repeats an attempt nor the caller that tries again can know. It stands right
+// before the back end, so that what became known while a request waited counts.
 func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
 		verdict, left := p.decide(call)
@@ -83,7 +83,7 @@
 func (p *plugin) answered(signature quarantine.Signature) {
 	p.mutex.Lock()
 	cleared := p.ledger.Answered(clock.Now().Time(), signature)
-	p.watching.Store(p.ledger.Watching())
+	p.publish()
 	p.mutex.Unlock()
 	if len(cleared) == 0 {
 		return
--- a/plugin/quarantine/peers.go
+++ b/plugin/quarantine/peers.go
@@ -81,8 +81,8 @@
 
 // Digest implements kernel.Quarantine.
 func (p *plugin) Digest() uint64 {
-	if !p.watching.Load() {
-		return 0
+	if p.empty.Load() {
+		return 0 // nearly always
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/plugin/quarantine/setup.go
+++ b/plugin/quarantine/setup.go
@@ -32,6 +32,7 @@
 		doubtful: make(chan struct{}, 1),
 		unsaved:  make(chan struct{}, 1),
 	}
+	p.empty.Store(true)
 	process.Quarantine = p
 	process.HandleControl("GET "+wire.PathQuarantine, p.serveCrashes)
 	process.HandleControl("POST "+wire.PathQuarantine, p.receiveCrashes)
@@ -55,6 +56,7 @@
 	doubtful chan struct{} // wakes the watch
 	unsaved  chan struct{} // wakes whoever writes to the store
 	watching atomic.Bool   // a request is under suspicion
+	empty    atomic.Bool   // nothing is known, not even of what was cleared
 	pulling  atomic.Bool
 	crashed  atomic.Int64 // back ends of this node
 
@@ -94,7 +96,14 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.ledger.Expire(now)
+	p.publish()
+}
+
+// publish makes known, without the mutex, whether attempts and answers must be looked at.
+// The mutex is held.
+func (p *plugin) publish() {
 	p.watching.Store(p.ledger.Watching())
+	p.empty.Store(p.ledger.Empty())
 }
 
 // learn takes what is known of crashes and reports whether any of it was new.
@@ -110,7 +119,7 @@
 	for _, signature := range quarantined {
 		own = own || slices.ContainsFunc(p.ledger.Ends(signature), p.isOwn)
 	}
-	p.watching.Store(p.ledger.Watching())
+	p.publish()
 	p.mutex.Unlock()
 	for _, signature := range quarantined {
 		p.process.Log.Emit(event.RequestQuarantined, "signature", signature, "from", from)
--- a/plugin/quarantine/setup_test.go
+++ b/plugin/quarantine/setup_test.go
@@ -7,11 +7,12 @@
 	"net/url"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/quarantine"
@@ -52,16 +53,16 @@
 func TestWhoLostABackEndWritesToTheStore(t *testing.T) {
 	is := is.New(t)
 	p, call := newPlugin(), callOf("/x", "mine")
-	p.learn(time.Now(), []quarantine.Crash{crashOf("first", call)}, "peer")
+	p.learn(clock.Now().Time(), []quarantine.Crash{crashOf("first", call)}, "peer")
 	is.Equal(p.noteLoss(call, result.New(result.ConnectionLost, "broken")).(*result.Error).Code, result.ConnectionLost)
 	p.ended("mine", "replaced")
 	is.Equal(len(p.unsaved), 0) // two are known
-	p.learn(time.Now(), []quarantine.Crash{crashOf("theirs", call)}, "peer")
+	p.learn(clock.Now().Time(), []quarantine.Crash{crashOf("theirs", call)}, "peer")
 	is.Equal(len(p.unsaved), 1)
 
 	// One that has lost none to it leaves that to others.
 	bystander := newPlugin()
-	bystander.learn(time.Now(), []quarantine.Crash{crashOf("a", call), crashOf("b", call), crashOf("c", call)}, "peer")
+	bystander.learn(clock.Now().Time(), []quarantine.Crash{crashOf("a", call), crashOf("b", call), crashOf("c", call)}, "peer")
 	is.Equal(len(bystander.unsaved), 0)
 }
 
@@ -84,9 +85,9 @@
 
 	// The attempt that loses the third back end is told apart, so that it is not repeated.
 	failure = result.New(result.ConnectionLost, "broken")
-	p.learn(time.Now(), []quarantine.Crash{crashOf("a", call)}, "peer")
+	p.learn(clock.Now().Time(), []quarantine.Crash{crashOf("a", call)}, "peer")
 	is.Equal(codeOf(call), result.ConnectionLost)
-	p.learn(time.Now(), []quarantine.Crash{crashOf("b", call)}, "peer")
+	p.learn(clock.Now().Time(), []quarantine.Crash{crashOf("b", call)}, "peer")
 	is.Equal(codeOf(call), result.CrashSuspected)
 	is.True(!result.From(failure).NotRun())
 
@@ -102,7 +103,7 @@
 	// Another request is served, and a whole answer clears it of what it was suspected of.
 	failure = nil
 	other := callOf("/y", "mine")
-	p.learn(time.Now(), []quarantine.Crash{crashOf("a", other), crashOf("b", other)}, "peer")
+	p.learn(clock.Now().Time(), []quarantine.Crash{crashOf("a", other), crashOf("b", other)}, "peer")
 	answer, err := handler.Handle(other)
 	is.NoErr(err)
 	is.Equal(p.ledger.Crashes(other.Signature()), 2) // the answer is on its way
@@ -132,6 +133,36 @@
 	is.Equal(p.witness.Suspects("mine"), []quarantine.Signature{call.Signature()})
 }
 
+// leavingBackEnd is a back end that has said that it leaves.
+type leavingBackEnd struct{ kernel.BackEnd }
+
+func (leavingBackEnd) State() instance.State { return instance.State{ID: "mine", Leaving: true} }
+
+// TestAPlannedEndIsNoCrash: a back end loses a request to a broken connection, says that it
+// leaves, and is replaced.
+func TestAPlannedEndIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	p, call := newPlugin(), callOf("/x", "mine")
+	_ = p.noteLoss(call, result.New(result.ConnectionLost, "broken"))
+	p.process.BackEnd = leavingBackEnd{}
+	is.True(!p.look(t.Context(), clock.Now().Time()))
+	is.Equal(p.doubt, doubt{}) // the incarnation that comes after it says nothing
+	is.Equal(p.crashed.Load(), int64(0))
+}
+
+// TestWhatWasClearedIsToldOn: a process that knows of cleared requests alone shows it, so
+// that one that still holds them for suspects learns of it.
+func TestWhatWasClearedIsToldOn(t *testing.T) {
+	is := is.New(t)
+	p, call := newPlugin(), callOf("/x", "mine")
+	p.learn(clock.Now().Time(), []quarantine.Crash{crashOf("a", call)}, "peer")
+	before := p.Digest()
+	p.answered(call.Signature())
+	is.True(!p.watching.Load())
+	is.True(p.Digest() != 0)
+	is.True(p.Digest() != before)
+}
+
 // TestRefusalsLeaveNoSuspicion: what certainly did not run there, and answers to other
 // requests, say nothing of this one.
 func TestRefusalsLeaveNoSuspicion(t *testing.T) {
--- a/plugin/quarantine/watch.go
+++ b/plugin/quarantine/watch.go
@@ -78,6 +78,9 @@
 	switch {
 	case open.instance == "":
 		return false
+	case p.isLeaving(open.instance):
+		p.settle(open.instance) // its end is planned
+		return false
 	case p.replaced(open.instance):
 		p.ended(open.instance, "replaced")
 		return false
@@ -92,6 +95,15 @@
 	}
 }
 
+// isLeaving reports whether an incarnation has said that it leaves.
+func (p *plugin) isLeaving(instance string) bool {
+	if p.process.BackEnd == nil {
+		return false
+	}
+	state := p.process.BackEnd.State()
+	return state.ID == instance && state.Leaving
+}
+
 // replaced reports whether another incarnation stands in the place of the given one.
 func (p *plugin) replaced(instance string) bool {
 	if p.process.BackEnd == nil {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -96,6 +96,9 @@
 	return &Ledger{config: config, crashes: map[string]*crash{}, records: map[Signature]*record{}}
 }
 
+// Empty reports whether nothing is known, not even of requests that were cleared.
+func (l *Ledger) Empty() bool { return len(l.crashes) == 0 }
+
 // Watching reports whether any request is under suspicion, so that attempts must be asked
 // for and answers told.
 func (l *Ledger) Watching() bool { return len(l.records) > 0 }
