--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -35,6 +35,8 @@
 	Experiment experimentCommand `cmd:"" help:"Play overload scenarios in virtual time and compare ways of control."`
 
 	Gossip gossipCommand `cmd:"" help:"Measure failure detection in virtual time."`
+
+	Soak soakCommand `cmd:"" help:"Run real processes under faults and check the promises."`
 }
 
 // Run runs the command line and returns the exit status.
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,174 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/loomcleat/loomcleat/internal/standin/platformbackend"
+)
+
+// node is a process of the product, started anew at the same addresses after each end, with
+// the back end beside it.
+type node struct {
+	name     string
+	service  string
+	program  string
+	file     string // of its settings
+	logFile  string
+	outbound string
+	backend  *platformbackend.Backend
+
+	busy    atomic.Bool // a fault has it
+	mutex   sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	told    bool // to end
+	planned time.Time
+	onExit  func(n *node, err error)
+}
+
+// address returns an address of the loopback on which nothing listens.
+func address() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("looking for a free port: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// addresses returns a number of addresses that differ.
+func addresses(count int) ([]string, error) {
+	found := []string{}
+	for range count {
+		one, err := address()
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, one)
+	}
+	return found, nil
+}
+
+// newNode writes the settings of a node. Nothing is started.
+func newNode(config Config, name, service, store string, observer platformbackend.Observer) (*node, error) {
+	free, err := addresses(7)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		name:     name,
+		service:  service,
+		program:  config.Program,
+		file:     filepath.Join(config.Folder, name+".yaml"),
+		logFile:  filepath.Join(config.Folder, name+".log"),
+		outbound: free[1],
+	}
+	n.backend = platformbackend.New(platformbackend.Config{
+		Service:    service,
+		Address:    free[0],
+		Outbound:   n.outbound,
+		Heartbeats: free[3],
+		Host:       host,
+		Slots:      backendSlots,
+		Work:       backendWork,
+		Beat:       backendBeat,
+		Observer:   observer,
+	})
+	lines := []string{
+		"id: " + name, "service: " + service, "backend: " + free[0], "outbound: " + n.outbound, "entry: true",
+		"readiness: " + free[2], "heartbeats: " + free[3], "control: " + free[4], "admin: " + free[5], "listen: " + free[6],
+		"store: " + store, "store_api: platform", "policy_required: true", "claims: false",
+		"probe_interval: 500ms", "stop_within: " + stopWithin.String(), "backend_drain: " + drainTime.String(),
+		"retry_budget: {ratio: 0.2, slack: 100, window: 10s}", "log: {format: json}",
+	}
+	if err := os.WriteFile(n.file, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		return nil, fmt.Errorf("writing the settings of %s: %w", name, err)
+	}
+	return n, nil
+}
+
+// start starts the process.
+func (n *node) start() error {
+	log, err := os.OpenFile(n.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("opening the log of %s: %w", n.name, err)
+	}
+	defer log.Close() // the process has its own descriptor
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cmd = exec.Command(n.program, "node", "--config", n.file)
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	n.told = false
+	n.planned = time.Time{}
+	n.exited = make(chan struct{})
+	if err := n.cmd.Start(); err != nil {
+		return fmt.Errorf("starting %s: %w", n.name, err)
+	}
+	go n.wait(n.cmd, n.exited)
+	return nil
+}
+
+// wait waits for the end of a process and tells when it ended by itself.
+func (n *node) wait(cmd *exec.Cmd, exited chan struct{}) {
+	err := cmd.Wait()
+	n.mutex.Lock()
+	told := n.told
+	n.mutex.Unlock()
+	close(exited)
+	if !told {
+		n.onExit(n, err)
+	}
+}
+
+// signal sends a signal to the process that was started last.
+func (n *node) signal(signal syscall.Signal) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.cmd != nil && n.cmd.Process != nil {
+		_ = n.cmd.Process.Signal(signal) // it may have ended
+	}
+}
+
+// kill ends the process at once.
+func (n *node) kill() {
+	n.mutex.Lock()
+	n.told = true
+	exited := n.exited
+	n.mutex.Unlock()
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	<-exited
+}
+
+// terminate stops the process in order and reports whether it ended in time.
+func (n *node) terminate() bool {
+	n.mutex.Lock()
+	n.told = true
+	n.planned = time.Now()
+	exited := n.exited
+	n.mutex.Unlock()
+	n.signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+		return true
+	case <-time.After(2 * stopWithin):
+		n.kill()
+		return false
+	}
+}
+
+// stopsInOrder reports whether the process was told to stop in order.
+func (n *node) stopsInOrder() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return !n.planned.IsZero()
+}
--- a/internal/standin/metastore/server.go
+++ b/internal/standin/metastore/server.go
@@ -64,6 +64,12 @@
 	s.faults = faults
 }
 
+// keyConfiguration is where the operator keeps the configuration.
+const keyConfiguration = "op/config"
+
+// PutConfiguration writes the configuration, as the operator does.
+func (s *Server) PutConfiguration(data []byte) { s.Put(keyConfiguration, data) }
+
 // Put writes a key as the operator does.
 func (s *Server) Put(key string, value []byte) {
 	s.mutex.Lock()
