--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -15,13 +15,13 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	_ "github.com/loomcleat/loomcleat/internal/cli"    // so that a change of the programs is a change of these tests
 	_ "github.com/loomcleat/loomcleat/internal/labcli" // the same; go test would take their result from its cache
+	"github.com/loomcleat/loomcleat/internal/freeport"
 	"github.com/loomcleat/loomcleat/internal/standin/backend"
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
 	"github.com/loomcleat/loomcleat/store/consulkv"
@@ -135,30 +135,14 @@
 	}
 }
 
-// Ports for listeners are taken from below the range from which the system
-// takes ports for outgoing connections: a port from that range that is free now
-// may be in use when the process binds it.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int64
-
 // freePort returns a loopback address that is free now.
 func freePort(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + (int64(os.Getpid())*64+nextPort.Add(1))%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			listener.Close()
-			return address
-		}
+	address, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return address
 }
 
 // member is a node or gateway process with its addresses.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/loomcleat/loomcleat/internal/freeport"
 	"github.com/loomcleat/loomcleat/internal/standin/platformbackend"
 )
 
@@ -35,23 +35,13 @@
 	onExit  func(n *node, err error)
 }
 
-// address returns an address of the loopback on which nothing listens.
-func address() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("looking for a free port: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
-// addresses returns a number of addresses that differ.
+// addresses returns a number of addresses on which nothing listens.
 func addresses(count int) ([]string, error) {
 	found := []string{}
 	for range count {
-		one, err := address()
+		one, err := freeport.Address()
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("looking for a port: %w", err)
 		}
 		found = append(found, one)
 	}
