--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -19,9 +19,9 @@
 	"testing"
 	"time"
 
-	_ "github.com/loomcleat/loomcleat/internal/cli"    // so that a change of the programs is a change of these tests
-	_ "github.com/loomcleat/loomcleat/internal/labcli" // the same; go test would take their result from its cache
+	_ "github.com/loomcleat/loomcleat/internal/cli" // so that a change of the programs is a change of these tests
 	"github.com/loomcleat/loomcleat/internal/freeport"
+	_ "github.com/loomcleat/loomcleat/internal/labcli" // the same; go test would take their result from its cache
 	"github.com/loomcleat/loomcleat/internal/standin/backend"
 	"github.com/loomcleat/loomcleat/internal/standin/consul"
 	"github.com/loomcleat/loomcleat/store/consulkv"
