The soak suspends machines

Cause: suspensions were shown by single tests only. Ruled out: a source of time that the shipped program could be told; only programs built with a tag know it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -34,6 +34,7 @@
 var faults = []fault{
 	{"kill", true, killNode},
 	{"freeze", true, freezeNode},
+	{"suspend", true, suspendNode},
 	{"stop", false, stopNode},
 	{"kill-all", true, killAll},
 	{"store-silent", true, storeFault(metastore.Faults{Silent: true})},
@@ -57,6 +58,13 @@
 	n.signal(syscall.SIGCONT)
 }
 
+// suspendNode suspends a machine for longer than it takes: its clock says so.
+func suspendNode(f *fleet, n *node, duration time.Duration) {
+	if err := n.suspend(10 * duration); err != nil {
+		f.config.Log("suspending %s: %v", n.name, err)
+	}
+}
+
 func stopNode(f *fleet, n *node, _ time.Duration) {
 	if !n.terminate() {
 		f.checker.Violate(time.Now(), PlannedStop, "%s did not end in order within %s", n.name, 2*stopWithin)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,10 +24,13 @@
 	program  string
 	file     string // of its settings
 	logFile  string
+	clock    string // file that puts the clock of the process forward, see package clock
 	outbound string
 	backend  *platformbackend.Backend
 
-	busy    atomic.Bool // a fault has it
+	busy      atomic.Bool   // a fault has it
+	suspended time.Duration // in all, of the fault that has it
+
 	mutex   sync.Mutex
 	cmd     *exec.Cmd
 	exited  chan struct{}
@@ -48,6 +52,10 @@
 	return found, nil
 }
 
+// clockVariable names the file to a program that was built with the tag suspendedclock;
+// others don't know it, and a suspension is a short freeze to them.
+const clockVariable = "LOOMCLEAT_TEST_SUSPENDED"
+
 // newNode writes the settings of a node. Nothing is started.
 func newNode(config Config, name, service, store string, observer platformbackend.Observer) (*node, error) {
 	free, err := addresses(7)
@@ -60,6 +68,7 @@
 		program:  config.Program,
 		file:     filepath.Join(config.Folder, name+".yaml"),
 		logFile:  filepath.Join(config.Folder, name+".log"),
+		clock:    filepath.Join(config.Folder, name+".suspended"),
 		outbound: free[1],
 	}
 	n.backend = platformbackend.New(platformbackend.Config{
@@ -96,6 +105,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.cmd = exec.Command(n.program, "node", "--config", n.file)
+	n.cmd.Env = append(os.Environ(), clockVariable+"="+n.clock)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	n.told = false
 	n.planned = time.Time{}
@@ -156,6 +166,31 @@
 	}
 }
 
+// suspend stops the process for a moment and lets it go on with a clock that has gone on for
+// longer, as that of a suspended machine.
+func (n *node) suspend(duration time.Duration) error {
+	n.signal(syscall.SIGSTOP)
+	defer n.signal(syscall.SIGCONT)
+	time.Sleep(suspensionStop)
+	n.suspended += duration
+	return writeWhole(n.clock, strconv.FormatInt(int64(n.suspended), 10))
+}
+
+// suspensionStop is how long a process stands still for a suspension.
+const suspensionStop = 200 * time.Millisecond
+
+// writeWhole replaces a file, so that a reader never sees a part of it.
+func writeWhole(path, text string) error {
+	next := path + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("writing %s: %w", path, err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		return fmt.Errorf("writing %s: %w", path, err)
+	}
+	return nil
+}
+
 // stopsInOrder reports whether the process was told to stop in order.
 func (n *node) stopsInOrder() bool {
 	n.mutex.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,7 @@
 // started by hand: loomcleat-lab soak.
 func TestASoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "loomcleat")
-	build := exec.Command("go", "build", "-o", program, "../../cmd/loomcleat")
+	build := exec.Command("go", "build", "-tags", "suspendedclock", "-o", program, "../../cmd/loomcleat")
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("building: %v\n%s", err, output)
 	}
