Quarantine: what is kept of crashes is bounded in all

Cause: the bounds of one crash and of their number allowed 21 MB and messages of 2.5 MB together, of the 32 MB that a node may take. Ruled out: smaller bounds for one crash, which would leave out requests of large back ends. Change: 16,384 requests in all; the oldest crash is forgotten first. Figures: 1.3 MB and 158 KB at 256 crashes with 30 requests each; about twice that at the new bound.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -40,6 +40,9 @@
 	// maximumSuspects bounds the suspects of one end: above the requests that a back end
 	// works on at a time.
 	maximumSuspects = 512
+	// maximumListed bounds the suspects of all ends together: 2.7 MB of memory and 330 KB
+	// for a process that asks for all, by the sizes measured at 7,680 of them.
+	maximumListed = 16 << 10
 )
 
 // Crash is what is known of the end of a back end that worked on requests.
@@ -72,6 +75,7 @@
 	config  Config
 	crashes map[string]*crash
 	records map[Signature]*record
+	listed  int // suspects of all crashes
 }
 
 // crash is an end of a back end.
@@ -127,6 +131,7 @@
 			continue
 		}
 		known.suspects[signature] = false
+		l.listed++
 		news = true
 		if !cleared[signature] && l.suspect(told.ID, known.at, signature) {
 			quarantined = append(quarantined, signature)
@@ -138,6 +143,9 @@
 			news = true
 		}
 	}
+	for l.listed > maximumListed {
+		l.forgetOldest()
+	}
 	return news, quarantined
 }
 
@@ -359,5 +367,6 @@
 	for signature := range l.crashes[id].suspects {
 		l.acquit(id, signature)
 	}
+	l.listed -= len(l.crashes[id].suspects)
 	delete(l.crashes, id)
 }
