explain names other tries that asked for the same, and the back ends that crashed under it

Cause: each try of a caller has an id of its own, so that the story of one of them ended where the one before it failed. Ruled out: matching tries by connection or time, which two callers can share; the signature says what was asked for. Change: two parts of the story, by the signature in the lines; the product's traffic is as before.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -143,3 +143,27 @@
 	is.Equal(len(story.Steps), 1) // a request that names itself as its parent
 	is.Equal(story.Cause.Code, result.Overloaded)
 }
+
+func TestAStoryNamesOtherTriesAndCrashes(t *testing.T) {
+	is := is.New(t)
+	const entry = `
+{"@message":"request-failed","event":410,"direction":"outbound","request":"a","code":3002,"signature":"same"}
+{"@message":"request-refused","event":411,"direction":"outbound","request":"b","code":2016,"signature":"same"}
+{"@message":"request-refused","event":411,"direction":"outbound","request":"c","code":2001,"signature":"other"}
+`
+	const beside = `
+node-n {"@message":"backend-crashed","event":419,"instance":"i-1","signatures":["other","same"]}
+node-n {"@message":"request-quarantined","event":420,"signature":"same"}
+node-n {"@message":"backend-crashed","event":419,"instance":"i-2","signatures":["other"]}
+`
+	story, err := Tell(readAll(t, entry, beside), "b")
+	is.NoErr(err)
+	is.Equal(story.Tries, []string{"a"})
+	is.Equal(len(story.Crashes), 2)
+
+	var text strings.Builder
+	story.Print(&text)
+	is.True(strings.Contains(text.String(), "Other tries that asked for the same: a\n"))
+	is.True(strings.Contains(text.String(), "backend-crashed instance=i-1 with 2 requests"))
+	is.True(!strings.Contains(text.String(), "i-2"))
+}
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -22,11 +22,41 @@
 	for _, belief := range s.Beliefs {
 		fmt.Fprintf(out, "  %s %s\n", belief.Origin, belief.Text)
 	}
+	if len(s.Tries) > 0 {
+		fmt.Fprintf(out, "Other tries that asked for the same: %s\n", shortened(s.Tries))
+	}
+	if len(s.Crashes) > 0 {
+		fmt.Fprintln(out, "Back ends that crashed under what it asked for:")
+	}
+	for _, line := range s.Crashes {
+		fmt.Fprintf(out, "  %s\n", line.crashSummary())
+	}
 	if s.Suppressed > 0 {
 		fmt.Fprintf(out, "These logs left out %d lines.\n", s.Suppressed)
 	}
 }
 
+// maximumShown bounds the names that are printed behind each other.
+const maximumShown = 20
+
+// shortened joins names, of which the first ones are enough.
+func shortened(names []string) string {
+	if len(names) <= maximumShown {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:maximumShown], ", "), len(names)-maximumShown)
+}
+
+// crashSummary is a line about crashes in short: those that were lost beside the request
+// are counted.
+func (r *Record) crashSummary() string {
+	text := fmt.Sprintf("%s %d %s", r.Origin, int(r.Event), r.Name)
+	if r.Instance != "" {
+		text += fmt.Sprintf(" instance=%s with %d requests", r.Instance, len(r.Signatures))
+	}
+	return text
+}
+
 // summary is the line in short.
 func (r *Record) summary() string {
 	parts := []string{fmt.Sprintf("%s %d %s", r.Origin, int(r.Event), r.Name), "request=" + r.Request}
--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -45,7 +45,12 @@
 	Tried       []string     `json:"tried"`
 	Member      string       `json:"member"`
 	Node        string       `json:"node"`
+	Instance    string       `json:"instance"`
 	Suppressed  int64        `json:"suppressed"`
+	// Signature names what the request asked for, the same for all its tries.
+	Signature string `json:"signature"`
+	// Signatures are those of the requests that were lost with a back end.
+	Signatures []string `json:"signatures"`
 }
 
 // maximumLine bounds the length of a line of a log, in bytes. Longer ones are an
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -23,6 +23,12 @@
 	// Beliefs are earlier lines of the process that wrote Cause, and of the nodes
 	// that it had tried, that tell what it believed. The last ones of each kind.
 	Beliefs []Record
+	// Tries are the names of other tries that asked for the same, in the order of the
+	// logs: those of a caller that came again, if no other asks for the same.
+	Tries []string
+	// Crashes are the lines about back ends that crashed under what the request asked
+	// for, and about its quarantine.
+	Crashes []Record
 	// Suppressed is the number of lines that the logs say were left out.
 	Suppressed int64
 }
@@ -38,9 +44,36 @@
 	}
 	story.Cause = book.cause(request, map[string]bool{})
 	story.Beliefs = book.beliefs(story.Cause)
+	story.Tries = book.tries(story.Cause, request)
+	story.Crashes = book.crashes(story.Cause)
 	return story, nil
 }
 
+// tries returns the other requests that asked for the same, each once.
+func (b *book) tries(cause Record, request string) []string {
+	names := []string{}
+	for _, record := range b.records {
+		same := cause.Signature != "" && record.Signature == cause.Signature && record.Request != ""
+		if same && record.Request != request && record.Request != cause.Request && !slices.Contains(names, record.Request) {
+			names = append(names, record.Request)
+		}
+	}
+	return names
+}
+
+// crashes returns what the logs say of back ends that crashed under what the request
+// asked for.
+func (b *book) crashes(cause Record) []Record {
+	lines := []Record{}
+	for _, record := range b.records {
+		about := record.Request == "" && (record.Signature == cause.Signature || slices.Contains(record.Signatures, cause.Signature))
+		if cause.Signature != "" && about {
+			lines = append(lines, record)
+		}
+	}
+	return lines
+}
+
 // tellUserRequest tells the story of all calls of a user request, by the name that
 // the mesh gave it: callers whose requests have no names of their own know it from
 // a line of the log. Calls further down stand first.
