--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -182,21 +182,30 @@
 	}
 }
 
+// dial opens a connection of a caller to the node.
+func (n *platformNode) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", n.outbound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	return conn
+}
+
 // row sends requests behind each other on one connection, each with a header, does
 // something once they run at a back end, and returns the statuses of the answers.
 func (n *platformNode) row(t *testing.T, runsAt *platformNode, headers []string, meanwhile func()) []int {
 	t.Helper()
 	is := is.New(t)
-	conn, err := net.Dial("tcp", n.outbound)
-	is.NoErr(err)
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	conn := n.dial(t)
 	before := runsAt.runs.Load()
 	for _, header := range headers {
 		if header == "" {
 			header = "None: 1"
 		}
-		_, err = fmt.Fprintf(conn, "GET /front/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: row%d\r\nX-Deadline-Remaining: 5000\r\n%s\r\n\r\n",
+		_, err := fmt.Fprintf(conn, "GET /front/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: row%d\r\nX-Deadline-Remaining: 5000\r\n%s\r\n\r\n",
 			platformRequests.Add(1), header)
 		is.NoErr(err)
 	}
--- a/e2e/tenants_test.go
+++ b/e2e/tenants_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -177,11 +176,8 @@
 func (n *platformNode) exchange(t *testing.T, requests string, count int) []string {
 	t.Helper()
 	is := is.New(t)
-	conn, err := net.Dial("tcp", n.outbound)
-	is.NoErr(err)
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(patience))
-	_, err = io.WriteString(conn, requests)
+	conn := n.dial(t)
+	_, err := io.WriteString(conn, requests)
 	is.NoErr(err)
 	answers := []string{}
 	for _, answer := range readAnswers(t, conn, count) {
