See what a back end declares in its answers: rate limit and leaving

Change: package platform decodes both headers; plug-in forward logs a declaration that appears, changes by more than a fifth or ends (423), one that can't be read (424) and the first one of leaving (425); loomcleat_backend_requests_total counts what is sent to the back end, loomcleat_rate_limits_not_understood_total what can't be read. Safe: nothing acts on them. The check of an answer's request id is a function of its own now and comes before the declarations are read. Measured: tests of plugin/forward, platform, wire, event, docs and kernel pass.

--- a/event/events.go
+++ b/event/events.go
@@ -78,6 +78,10 @@
 	RequestQuarantined  Number = 420
 	SuspicionCleared    Number = 421
 	QuarantineNotStored Number = 422
+
+	RateLimitDeclared      Number = 423
+	RateLimitNotUnderstood Number = 424
+	LeavingDeclared        Number = 425
 )
 
 // Events of at-most-once claims.
@@ -151,6 +155,9 @@
 	{RequestQuarantined, "request-quarantined", "warn", "Enough back ends crashed under one request: it is refused from now on, and its caller is told when to try again."},
 	{SuspicionCleared, "suspicion-cleared", "info", "A back end answered a request that others had crashed under; it is no longer suspected of those crashes."},
 	{QuarantineNotStored, "quarantine-not-stored", "warn", "The requests in quarantine could not be read from the store or written to it; this is tried again, and peers know of them meanwhile."},
+	{RateLimitDeclared, "rate-limit-declared", "info", "The back end beside this node declared how many requests a second it takes from all processes together, changed that limit, or declares none any more."},
+	{RateLimitNotUnderstood, "rate-limit-not-understood", "warn", "The back end beside this node declared a rate limit that is no number of requests per second; the limit before it stays in force."},
+	{LeavingDeclared, "leaving-declared", "info", "The back end beside this node declared in an answer that it is about to stop."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -15,7 +15,11 @@
 	Retries   atomic.Int64
 	Pipelined atomic.Int64
 	// InvalidLoads counts answers of the back end with an invalid load.
-	InvalidLoads    atomic.Int64
+	InvalidLoads atomic.Int64
+	// InvalidRateLimits counts answers of the back end with an invalid rate limit.
+	InvalidRateLimits atomic.Int64
+	// BackEndRequests counts the requests sent to the back end of this node.
+	BackEndRequests atomic.Int64
 	Suspended       atomic.Int64 // milliseconds
 	ControlSent     atomic.Int64 // bytes
 	ControlReceived atomic.Int64 // bytes
@@ -48,6 +52,8 @@
 		counterOf("loomcleat_retries_total", "Attempts after the first one that this process made.", &c.Retries),
 		counterOf("loomcleat_requests_ahead_total", "Requests that were served before their turn on a caller's connection.", &c.Pipelined),
 		counterOf("loomcleat_loads_not_understood_total", "Answers of the back end with a load that makes no sense.", &c.InvalidLoads),
+		counterOf("loomcleat_rate_limits_not_understood_total", "Answers of the back end with a rate limit that makes no sense.", &c.InvalidRateLimits),
+		counterOf("loomcleat_backend_requests_total", "Requests sent to the back end beside this node.", &c.BackEndRequests),
 		counterOf("loomcleat_suspended_milliseconds_total", "Time in which the machine was suspended.", &c.Suspended),
 		counterOf("loomcleat_control_sent_bytes_total", "Bytes written on control connections.", &c.ControlSent),
 		counterOf("loomcleat_control_received_bytes_total", "Bytes read on control connections.", &c.ControlReceived),
--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -21,6 +21,7 @@
 	down atomic.Bool
 	// Whether the back end reports on its health path that it is draining.
 	draining atomic.Bool
+	declared declarations
 }
 
 // handle sends the call to the back end.
@@ -35,6 +36,7 @@
 		return nil, result.New(result.DeadlineTooShort, "the time of the request ran out while it was on its way to the back end")
 	}
 	f.process.Dialect.WriteRemaining(call.Header, left)
+	f.process.Counters.BackEndRequests.Add(1)
 	response, err := f.transmitter.Send(call.Context, call, f.process.Settings.Backend, call.Header)
 	if err != nil {
 		if result.From(err).Code == result.BackendUnreachable {
@@ -43,6 +45,11 @@
 		return nil, err
 	}
 	f.recordReachable()
+	if err := f.checkRequestID(call, response); err != nil {
+		_ = response.Body.Close() // unread, which also closes the connection
+		return nil, err
+	}
+	f.recordDeclarations(response.Header, expected)
 	if err := f.checkAnswer(call, response, expected); err != nil {
 		_ = response.Body.Close() // unread, which also closes the connection
 		return nil, err
@@ -88,15 +95,21 @@
 	return state.ID, nil
 }
 
-// checkAnswer returns an error if the response answers another request, or if the back end reports
-// that it did not run the call.
-func (f *forwarder) checkAnswer(call *kernel.Call, response *http.Response, expected string) error {
+// checkRequestID returns an error if the response answers another request.
+func (f *forwarder) checkRequestID(call *kernel.Call, response *http.Response) error {
 	dialect := &f.process.Dialect
-	if dialect.HasRequestID() && call.RequestID != "" && response.Header.Get(dialect.RequestID) != call.RequestID {
-		f.process.Log.Emit(event.AnswerMismatch, "backend", f.process.Settings.Backend, "request", call.RequestID,
-			"answered", response.Header.Get(dialect.RequestID))
-		return result.New(result.AnswerMismatch, "the back end answered another request")
+	answered := response.Header.Get(dialect.RequestID)
+	if !dialect.HasRequestID() || call.RequestID == "" || answered == call.RequestID {
+		return nil
 	}
+	f.process.Log.Emit(event.AnswerMismatch, "backend", f.process.Settings.Backend, "request", call.RequestID, "answered", answered)
+	return result.New(result.AnswerMismatch, "the back end answered another request")
+}
+
+// checkAnswer returns an error if the back end reports that it did not run the call, or if the
+// response answers another execution.
+func (f *forwarder) checkAnswer(call *kernel.Call, response *http.Response, expected string) error {
+	dialect := &f.process.Dialect
 	if !dialect.IsNotRun(response) {
 		return f.checkToken(call, response)
 	}
--- a/wire/dialect.go
+++ b/wire/dialect.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/loomcleat/loomcleat/ratelimit"
 )
 
 // Dialect holds the names of the headers with which callers and back ends exchange metadata
@@ -41,6 +43,13 @@
 	// none is reported, and an error if the report is invalid. Nil: back ends report no
 	// load.
 	ReadLoad func(header http.Header) (*BackEndLoad, error)
+	// ReadRateLimit reads the rate limit that a back end declares with an answer: the
+	// requests a second that it takes from all processes together. It returns nil if none is
+	// declared, and an error if the limit is invalid. Nil: back ends declare no limits.
+	ReadRateLimit func(header http.Header) (*ratelimit.Rate, error)
+	// IsLeaving reports whether a back end declares with an answer that it is about to stop.
+	// Nil: back ends don't declare that in answers.
+	IsLeaving func(header http.Header) bool
 	// ParentID derives the ID of a request's parent request from the request's ID. Nil:
 	// IDs do not contain the parent's. The result is a guess. It may be used to link
 	// requests that meet at one node, but correctness must not depend on it.
