--- /dev/null
+++ b/e2e/declaration_test.go
@@ -0,0 +1,204 @@
+package e2e
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+)
+
+// Load and limit in tests of back ends that declare a rate limit or that they are leaving.
+const (
+	callInterval  = 30 * time.Millisecond // between two calls at one entry
+	declaredLimit = "5"                   // requests a second
+	limitWindow   = 4 * time.Second
+	// limitAllowed is the number of requests that a back end may get in limitWindow: one and
+	// a half times its declared limit, and 5.
+	limitAllowed = 35
+	// limitNotice is the time after the first declaration from which on requests count.
+	limitNotice = 500 * time.Millisecond
+	// drainTime is the default of backend_drain.
+	drainTime = 2 * time.Second
+)
+
+// declaringBackEnd is a back end that declares a rate limit, or that it is leaving, in its
+// answers.
+type declaringBackEnd struct {
+	node    *platformNode
+	address string
+	// Value of the header with the rate limit, "" for none.
+	limit   atomic.Pointer[string]
+	leaving atomic.Bool
+
+	mutex sync.Mutex
+	// First answer with a declaration, zero before it.
+	declaredAt time.Time
+	arrivals   []time.Time
+}
+
+func (b *declaringBackEnd) serve(w http.ResponseWriter, r *http.Request) {
+	b.mutex.Lock()
+	b.arrivals = append(b.arrivals, time.Now())
+	if limit := *b.limit.Load(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+		b.recordDeclaration()
+	}
+	if b.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+		b.recordDeclaration()
+	}
+	b.mutex.Unlock()
+	b.node.serveBackEnd(w, r)
+}
+
+func (b *declaringBackEnd) recordDeclaration() {
+	if b.declaredAt.IsZero() {
+		b.declaredAt = time.Now()
+	}
+}
+
+func (b *declaringBackEnd) declare(limit string) { b.limit.Store(&limit) }
+
+// arrivalsAfter returns the arrivals later than delay after the first declaration.
+func (b *declaringBackEnd) arrivalsAfter(delay time.Duration) []time.Time {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.declaredAt.IsZero() {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(b.arrivals), func(at time.Time) bool { return at.Before(b.declaredAt.Add(delay)) })
+}
+
+// mostInWindow returns the largest number of times in any window of the given length.
+func mostInWindow(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// startDeclaringBackEnds starts nodes of the service "front", each with its back end, and
+// waits until all of them serve requests.
+func startDeclaringBackEnds(t *testing.T, count int) []*declaringBackEnd {
+	t.Helper()
+	is := is.New(t)
+	stub := metastore.NewServer()
+	store := httptest.NewServer(stub.Handler())
+	t.Cleanup(store.Close)
+	stub.Put("op/config", platformConfiguration(3, "front"))
+	backEnds := []*declaringBackEnd{}
+	for range count {
+		b := &declaringBackEnd{node: newPlatformNode(t, "front")}
+		b.declare("")
+		server := httptest.NewServer(http.HandlerFunc(b.serve))
+		t.Cleanup(server.Close)
+		b.address = server.Listener.Addr().String()
+		b.node.setIncarnation("i-" + b.address)
+		b.node.startWithBackEnd(t, store.URL, b.address)
+		backEnds = append(backEnds, b)
+	}
+	for _, b := range backEnds {
+		eventually(t, "readiness", func() bool { return b.node.probeReadiness() == http.StatusOK })
+		is.Equal(b.node.sendHeartbeat("ready"), http.StatusOK)
+	}
+	for _, b := range backEnds {
+		eventually(t, "a back end to be used", func() bool {
+			backEnds[0].node.get("/front/x", "")
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			return len(b.arrivals) > 0
+		})
+	}
+	return backEnds
+}
+
+// outcomes counts the answers to callers.
+type outcomes struct {
+	served, refused, failed atomic.Int64
+}
+
+// startCallers calls at each entry until stop is called.
+func startCallers(entries []*declaringBackEnd, counted *outcomes) (stop func()) {
+	stopped := make(chan struct{})
+	callers := sync.WaitGroup{}
+	for _, entry := range entries {
+		callers.Go(func() {
+			ticker := time.NewTicker(callInterval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-stopped:
+					return
+				case <-ticker.C:
+				}
+				callers.Go(func() {
+					switch entry.node.get("/front/x", "").status {
+					case http.StatusOK:
+						counted.served.Add(1)
+					case http.StatusServiceUnavailable:
+						counted.refused.Add(1)
+					default:
+						counted.failed.Add(1)
+					}
+				})
+			}
+		})
+	}
+	return func() {
+		close(stopped)
+		callers.Wait()
+	}
+}
+
+// TestDeclaredRateLimitHoldsOverAllEntries guards against a back end that gets more requests a
+// second than it has declared to take from all processes together, and against callers that
+// are refused although another back end of the service has room.
+func TestDeclaredRateLimitHoldsOverAllEntries(t *testing.T) {
+	is := is.New(t)
+	backEnds := startDeclaringBackEnds(t, 3)
+	limited := backEnds[:2]
+	counted := &outcomes{}
+	stop := startCallers(backEnds, counted)
+	time.Sleep(time.Second)
+	for _, b := range limited {
+		b.declare(declaredLimit)
+	}
+	time.Sleep(limitNotice + limitWindow + time.Second)
+	stop()
+	for _, b := range limited {
+		most := mostInWindow(b.arrivalsAfter(limitNotice), limitWindow)
+		t.Logf("%d requests in %v, %d allowed", most, limitWindow, limitAllowed)
+		is.True(most <= limitAllowed)
+		is.True(most >= limitAllowed/3) // the back end gets what it takes
+	}
+	t.Logf("%d served, %d refused, %d failed", counted.served.Load(), counted.refused.Load(), counted.failed.Load())
+	is.Equal(counted.refused.Load()+counted.failed.Load(), int64(0)) // the third back end takes the rest
+}
+
+// TestBackEndThatDeclaresLeavingGetsNoRequests guards against requests to a back end that
+// declares only in its answers that it is leaving.
+func TestBackEndThatDeclaresLeavingGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	backEnds := startDeclaringBackEnds(t, 2)
+	counted := &outcomes{}
+	stop := startCallers(backEnds, counted)
+	time.Sleep(time.Second)
+	backEnds[0].leaving.Store(true)
+	time.Sleep(drainTime + time.Second)
+	stop()
+	is.Equal(len(backEnds[0].arrivalsAfter(drainTime)), 0)
+	is.Equal(counted.refused.Load()+counted.failed.Load(), int64(0)) // the other back end takes all
+	is.True(strings.Contains(backEnds[0].node.log.String(), "leaving-declared"))
+}
