Back ends get no more than the rate limit that they declare

What back ends saw: one that had declared in its answers how many requests a second it takes from all processes together got as many as before, 97 in 4 s where 43 are allowed. Cause: nothing read the declaration. Change: package ratelimit paces the requests of one back end. The node beside it is the only way to it, so that the limit holds for all processes without any message. The admission controller takes from the limit when it starts a request, so that queued ones count too; what finds no room is refused by importance as not run (2017), with the time until the back end has room. Callers keep to their part of a limit that gossip tells them of, so that other back ends take the rest. A node that was restarted learns the limit from its callers, to whom it had reported it. Safe: without a declaration nothing is paced; a refusal by a limit counts neither for the level nor as pressure unless no back end took the request.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-var verdictNames = map[Verdict]string{Admitted: "in", BelowLevel: "below", QueueFull: "full", TooLate: "late"}
+var verdictNames = map[Verdict]string{Admitted: "in", BelowLevel: "below", QueueFull: "full", TooLate: "late", RateLimited: "limited"}
 
 // submit requests admission at a time after epoch, with the time left until the deadline.
 func (tc *testController) submit(at time.Duration, name string, priority int, left time.Duration) {
@@ -78,7 +78,7 @@
 		{"maximum queue time passes", func(tc *testController) {
 			tc.submit(0, "a", 0, time.Second)
 			tc.submit(ms, "b", 0, time.Second)
-			tc.Expire(epoch.Add(52 * ms))
+			tc.Advance(epoch.Add(52 * ms))
 		}, "a in, b full"},
 		{"deadline has passed", func(tc *testController) { tc.submit(0, "a", 0, 0) }, "a late"},
 		{"less time left than the back end takes", func(tc *testController) {
@@ -118,7 +118,7 @@
 			tc.submit(0, "a", 0, time.Second)
 			tc.submitWithUpstreamWork(ms, "upstream", 0, time.Second)
 			tc.submit(ms, "b", 0, time.Second)
-			tc.Expire(epoch.Add(900 * ms))
+			tc.Advance(epoch.Add(900 * ms))
 			tc.done(901*ms, ms)
 		}, "a in, b full, upstream in"},
 		{"withdrawn request is not started", func(tc *testController) {
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/ratelimit"
 )
 
 // Verdict is the result of an admission decision.
@@ -18,6 +20,8 @@
 	QueueFull
 	// TooLate: the request cannot finish before its deadline.
 	TooLate
+	// RateLimited: the rate limit that the back end declared leaves no room in time.
+	RateLimited
 )
 
 // Config configures a Controller.
@@ -32,9 +36,16 @@
 	// longer than that raises it to its usual time. Longer rides out bursts, shorter
 	// refuses sooner. 0 disables the queue.
 	QueueTime time.Duration
+
+	// RateLimit is the rate limit of the back end. Every admitted request takes one from it.
+	// Nil: there is none.
+	RateLimit *ratelimit.Limiter
 }
 
 func (c *Config) setDefaults() {
+	if c.RateLimit == nil {
+		c.RateLimit = &ratelimit.Limiter{}
+	}
 	if c.MinimumLimit == 0 {
 		c.MinimumLimit = 2
 	}
@@ -69,11 +80,17 @@
 	sequence uint64
 	// Index in the queue, or notQueued.
 	position int
-	notify   func(Verdict)
+	// A slot was free when the request was queued, so that it waits for the rate limit.
+	awaitsRate bool
+	notify     func(Verdict)
 }
 
+// AwaitedRate reports whether the request had to wait for the rate limit alone, or was refused
+// by it. It may be called after the verdict.
+func (t *Ticket) AwaitedRate() bool { return t.awaitsRate }
+
 // Controller admits requests to one back end. It combines the limit, the queue, the
-// level, the reserved share and the maximum queue times.
+// level, the reserved share, the maximum queue times and the back end's rate limit.
 type Controller struct {
 	mutex      sync.Mutex
 	limit      *Limit
@@ -81,6 +98,7 @@
 	inFlight   inFlight
 	queueTimes queueTimes
 	queue      ticketQueue
+	rateLimit  *ratelimit.Limiter
 	// Sequence number of the last request that was queued.
 	sequence uint64
 }
@@ -92,6 +110,7 @@
 		limit:      NewLimit(now, config.MinimumLimit, config.MaximumLimit),
 		level:      newLevelControl(now),
 		queueTimes: queueTimes{queueTime: config.QueueTime},
+		rateLimit:  config.RateLimit,
 	}
 }
 
@@ -104,7 +123,7 @@
 }
 
 // Submit requests admission. notify is called at most once with the verdict, either before
-// Submit returns or later from Submit, Done or Expire. It must not block and must not call the
+// Submit returns or later from Submit, Done or Advance. It must not block and must not call the
 // Controller. A caller that stops waiting passes the returned Ticket to Withdraw.
 func (c *Controller) Submit(now time.Time, request Request, notify func(Verdict)) *Ticket {
 	c.mutex.Lock()
@@ -112,11 +131,14 @@
 	c.level.adjust(now, c.freeShare())
 	ticket := &Ticket{Request: request, arrivedAt: now, position: notQueued, notify: notify}
 	c.level.arrived(request.Priority)
+	if _, limited := c.rateLimit.Limit(); limited {
+		c.dispatch(now) // time alone makes room in the rate limit
+	}
 	if verdict := c.checkOnArrival(now, ticket); verdict != Admitted {
 		notify(verdict)
 		return ticket
 	}
-	if c.inFlight.total < c.limit.Current() && c.queue.Len() == 0 {
+	if c.slotFree() && c.queue.Len() == 0 && c.rateLimit.Take(now) {
 		c.start(now, ticket)
 		return ticket
 	}
@@ -137,6 +159,8 @@
 	return Admitted
 }
 
+func (c *Controller) slotFree() bool { return c.inFlight.total < c.limit.Current() }
+
 func (c *Controller) reservedSlotFree() bool {
 	return c.inFlight.hasReservedSlot(c.limit.Current())
 }
@@ -162,9 +186,9 @@
 // enqueue adds a request to the queue. When the queue is too long, it refuses the
 // request that victim selects.
 func (c *Controller) enqueue(now time.Time, ticket *Ticket) {
+	ticket.awaitsRate = c.slotFree()
 	if c.queueTimes.queueTime <= 0 {
-		c.level.refused++
-		ticket.notify(QueueFull)
+		c.refuse(ticket, c.noRoom())
 		return
 	}
 	c.sequence++
@@ -173,17 +197,40 @@
 	heap.Push(&c.queue, ticket)
 	c.dropExpired(now)
 	if limit := c.queueLimit(); c.queue.Len() > limit {
-		c.drop(c.queue.victim(limit), QueueFull)
+		c.drop(c.queue.victim(limit), c.noRoom())
 	}
 }
 
-// queueLimit returns the maximum length of the queue. It is tied to the limit, so that
-// the queue drains within a few service times.
-func (c *Controller) queueLimit() int { return 2*c.limit.Current() + 1 }
+// queueLimit returns the maximum length of the queue. It is tied to the limit on requests in
+// flight and to the rate limit, so that the queue drains within a few service times.
+func (c *Controller) queueLimit() int {
+	limit := 2*c.limit.Current() + 1
+	if rate, limited := c.rateLimit.Limit(); limited {
+		return min(limit, max(int(float64(rate)*c.queueTimes.delayTarget().Seconds()), 1))
+	}
+	return limit
+}
+
+// noRoom returns the verdict on a request that is refused because the queue has no room, or
+// because it has waited too long.
+func (c *Controller) noRoom() Verdict {
+	if _, limited := c.rateLimit.Limit(); limited && c.slotFree() {
+		return RateLimited
+	}
+	return QueueFull
+}
 
 func (c *Controller) drop(ticket *Ticket, verdict Verdict) {
 	heap.Remove(&c.queue, ticket.position)
-	c.level.refused++
+	c.refuse(ticket, verdict)
+}
+
+// refuse refuses a request. A refusal by the rate limit doesn't count for the level, which
+// follows the slots.
+func (c *Controller) refuse(ticket *Ticket, verdict Verdict) {
+	if verdict != RateLimited {
+		c.level.refused++
+	}
 	ticket.notify(verdict)
 }
 
@@ -192,7 +239,7 @@
 		ticket := c.queue.tickets[i]
 		switch {
 		case !now.Before(ticket.expires):
-			c.drop(ticket, QueueFull)
+			c.drop(ticket, c.noRoom())
 		case c.queueTimes.tooLate(now, &ticket.Request):
 			c.drop(ticket, TooLate)
 		}
@@ -237,25 +284,45 @@
 	c.level.adjust(now, c.freeShare())
 }
 
-// dispatch starts queued requests while slots are free.
+// dispatch starts queued requests while slots are free and the rate limit has room.
 func (c *Controller) dispatch(now time.Time) {
 	c.dropExpired(now)
-	for c.inFlight.total < c.limit.Current() && c.queue.Len() > 0 {
+	for c.queue.Len() > 0 && c.slotFree() && c.rateLimit.Take(now) {
 		next := c.queue.next(c.reservedSlotFree())
 		heap.Remove(&c.queue, next.position)
 		c.start(now, next)
 	}
 }
 
-// Expire refuses queued requests that have waited too long or can no longer meet their
-// deadline. Call it every few milliseconds while State.Waiting is not 0.
-func (c *Controller) Expire(now time.Time) {
+// Advance refuses queued requests that have waited too long or can no longer meet their
+// deadline, and starts those for which the rate limit has room. Call it every few milliseconds
+// while State.Waiting is not 0, and after RateWait.
+func (c *Controller) Advance(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.dropExpired(now)
+	c.dispatch(now)
 	c.level.adjust(now, c.freeShare())
 }
 
+// RateWait returns the time until the rate limit has room for the next queued request, 0 if no
+// request waits for it.
+func (c *Controller) RateWait(now time.Time) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.queue.Len() == 0 || !c.slotFree() {
+		return 0
+	}
+	return c.rateLimit.Wait(now, 0)
+}
+
+// RateRetryAfter returns the time after which the rate limit has room for a request that is
+// refused now, behind those that wait.
+func (c *Controller) RateRetryAfter(now time.Time) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.rateLimit.Wait(now, c.queue.Len())
+}
+
 // State is a snapshot of a Controller.
 type State struct {
 	// Limit on requests in flight.
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -6,7 +6,8 @@
 // priority for the same user request. They therefore tend to keep and refuse the same
 // ones, and work is rarely wasted on a request that the next hop refuses.
 //
-// Controller decides for one back end (plug-in admission). It combines:
+// Controller decides for one back end (plug-in admission). It never admits more requests than
+// the rate limit that the back end declared (package ratelimit). It combines:
 //
 //   - limit.go: an adaptive limit on requests in flight. It follows the back end's own
 //     time, which excludes the time spent waiting for calls to other services, so that a
@@ -30,7 +31,6 @@
 // requests of the route met (pressure.go). The order among requests is their rank
 // (rank.go).
 //
-// The package owns these rules and their constants, and depends on no other part of the
-// mesh. All types take the time as an argument and do no I/O. Controller is safe for
+// The package owns these rules and their constants, and depends on package ratelimit only. All types take the time as an argument and do no I/O. Controller is safe for
 // concurrent use.
 package admission
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,8 +8,9 @@
 //
 // Pick narrows the nodes down in this order:
 //
-//  1. the first of these groups that is not empty: nodes that admit the call's priority,
-//     available nodes, nodes that are not leaving, all nodes (candidates);
+//  1. the first of these groups that is not empty: nodes that admit the call's priority and
+//     whose rate limit has room for this process, nodes that admit the priority, available
+//     nodes, nodes that are not leaving, all nodes (candidates);
 //  2. for a call that must not be repeated, the nodes with the lowest share of failed
 //     calls (reliable);
 //  3. the healthy nodes of the local zone, the zone of this process, while they have room
@@ -27,6 +28,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/ratelimit"
 )
 
 // Balancer selects among the nodes of one service.
@@ -68,6 +71,8 @@
 	loadKnown bool
 	// Admission levels by call path.
 	levels map[string]reportedLevel
+	// Part of the node's rate limit that this process uses.
+	rateShare ratelimit.Share
 }
 
 // reportedLevel is the admission level that a node last reported for a call path.
@@ -97,12 +102,24 @@
 			target.Since = known.target.Since
 		}
 		known.target = target
+		b.updateRateShare(now, known)
 		states[target.ID] = known
 		b.list = append(b.list, known)
 	}
 	b.states = states
 }
 
+// updateRateShare sets this process's part of a node's rate limit.
+func (b *Balancer) updateRateShare(now time.Time, s *nodeState) {
+	if s.target.RateLimit == nil {
+		s.rateShare = ratelimit.Share{}
+		return
+	}
+	random := float64(b.config.Random(randomParts)) / randomParts
+	s.rateShare.Set(now, *s.target.RateLimit, s.target.Callers, random)
+}
+
+// Size returns the number of nodes.
 func (b *Balancer) Size() int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -137,6 +154,9 @@
 	}
 	chosen := b.cheapest(now, b.zoneCandidates(now, candidates))
 	chosen.inFlight++
+	if chosen.target.RateLimit != nil {
+		chosen.rateShare.Use(now)
+	}
 	if chosen.ejections > 0 {
 		chosen.onTrial = true
 	}
@@ -192,10 +212,10 @@
 }
 
 // candidates returns the first of these groups that is not empty: nodes that admit the
-// priority, available nodes (neither leaving, suspect nor ejected), nodes that are not
-// leaving, all nodes.
+// priority and whose rate limit has room for this process, nodes that admit the priority,
+// available nodes (neither leaving, suspect nor ejected), nodes that are not leaving, all nodes.
 func (b *Balancer) candidates(now time.Time, requirements Requirements) []*nodeState {
-	var admitting, available, staying, all []*nodeState
+	var withinRate, admitting, available, staying, all []*nodeState
 	for _, candidate := range b.list {
 		if slices.Contains(requirements.Exclude, candidate.target.ID) {
 			continue
@@ -211,9 +231,12 @@
 		available = append(available, candidate)
 		if b.levelOf(now, candidate, requirements.Path) <= requirements.Priority {
 			admitting = append(admitting, candidate)
+			if candidate.target.RateLimit == nil || candidate.rateShare.Open(now) {
+				withinRate = append(withinRate, candidate)
+			}
 		}
 	}
-	for _, group := range [][]*nodeState{admitting, available, staying} {
+	for _, group := range [][]*nodeState{withinRate, admitting, available, staying} {
 		if len(group) > 0 {
 			return group
 		}
--- a/balance/config.go
+++ b/balance/config.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/loomcleat/loomcleat/ratelimit"
 )
 
 // Target is a node that calls can go to.
@@ -17,6 +19,12 @@
 	// Leaving reports that the node is shutting down and takes requests for a short time
 	// only. It is selected only if no other node is left.
 	Leaving bool
+	// RateLimit is how many requests a second the node's back end takes from all processes
+	// together, nil for no limit. While other nodes have room, this process uses its part of
+	// the limit only.
+	RateLimit *ratelimit.Rate
+	// Callers is the number of processes that share the RateLimit.
+	Callers int
 	// Since is when this process first saw the node. Update sets it.
 	Since time.Time
 }
--- a/e2e/declaration_test.go
+++ b/e2e/declaration_test.go
@@ -202,3 +202,35 @@
 	is.Equal(counted.refused.Load()+counted.failed.Load(), int64(0)) // the other back end takes all
 	is.True(strings.Contains(backEnds[0].node.log.String(), "leaving-declared"))
 }
+
+// restart kills the node and starts it again beside the same back end.
+func (b *declaringBackEnd) restart(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	b.node.kill()
+	b.node.restart()
+	eventually(t, "readiness", func() bool { return b.node.probeReadiness() == http.StatusOK })
+	is.Equal(b.node.sendHeartbeat("ready"), http.StatusOK)
+}
+
+// TestRestartedNodeKeepsDeclaredLimit guards against a node that was restarted and floods its back
+// end, since it has forgotten the limit that other entries have been told.
+func TestRestartedNodeKeepsDeclaredLimit(t *testing.T) {
+	is := is.New(t)
+	backEnds := startDeclaringBackEnds(t, 2)
+	for _, b := range backEnds {
+		b.declare(declaredLimit) // no other back end has room
+	}
+	counted := &outcomes{}
+	stop := startCallers(backEnds[1:], counted)
+	time.Sleep(2 * time.Second)
+	for range 3 {
+		backEnds[0].restart(t)
+		time.Sleep(time.Second)
+	}
+	stop()
+	most := mostInWindow(backEnds[0].arrivalsAfter(limitNotice), limitWindow)
+	t.Logf("%d requests in %v, %d allowed", most, limitWindow, limitAllowed)
+	is.True(most <= limitAllowed)
+	is.True(counted.refused.Load() > 0)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -43,6 +43,10 @@
 	ClosesAt time.Time
 }
 
+// Incarnation identifies the incarnation among all that run one after another beside a node, ""
+// if none is known.
+func (s State) Incarnation() string { return s.ID }
+
 // Open reports whether requests may be sent to the back end.
 func (s State) Open(now time.Time) bool {
 	if s.ID == "" {
--- a/internal/emulator/backend_test.go
+++ b/internal/emulator/backend_test.go
@@ -62,7 +62,7 @@
 			c.execute(b, r, i, account, item, onEnd)
 		})
 	})
-	c.After(policy.DefaultQueueTime, func() { b.controller.Expire(c.Now()) })
+	c.After(policy.DefaultQueueTime, func() { b.controller.Advance(c.Now()) })
 }
 
 // execute simulates a request inside a back end: it takes a connection, waits for a slot,
--- a/internal/replay/runners.go
+++ b/internal/replay/runners.go
@@ -44,7 +44,7 @@
 	case "done":
 		r.controller.Done(now, &admission.Ticket{}, admission.Outcome{OwnTime: step.Own, Counted: true})
 	case "expire":
-		r.controller.Expire(now)
+		r.controller.Advance(now)
 	case "withdraw":
 		if r.controller.Withdraw(r.tickets[step.Who]) {
 			r.verdicts = append(r.verdicts, step.Who+" withdrawn")
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/loomcleat/loomcleat/claims"
 	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/retrybudget"
 )
@@ -36,6 +37,9 @@
 	Credential string
 	// Tenant is the name of the tenant, "" when none is known.
 	Tenant string
+	// Declared is what the sender of an inbound call knows, from an earlier answer of this node
+	// or of the process that ran here before, of the back end.
+	Declared instance.Declared
 	// IsRetry is true when this attempt, or one upstream of it, is a retry.
 	IsRetry bool
 	// TriedNodes lists the nodes to which earlier attempts were sent.
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomcleat/loomcleat/admission"
 	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/retrybudget"
@@ -36,6 +37,20 @@
 		report.FaultRate = occupancy.FaultRate
 	}
 	report.Write(header)
+	wire.WriteDeclared(header, p.declared())
+}
+
+// declared returns what the back end of this node has declared about itself.
+func (p *Process) declared() instance.Declared {
+	var declared instance.Declared
+	if limit, limited := p.RateLimit.Limit(); limited {
+		declared.Limit = &limit
+	}
+	if p.BackEnd != nil {
+		state := p.BackEnd.State()
+		declared.Incarnation, declared.Leaving = state.Incarnation(), state.Leaving
+	}
+	return declared
 }
 
 // inboundCall builds a call of another process to the back end of this node.
@@ -56,6 +71,7 @@
 	call.Inbound = true
 	call.Tenant = p.Dialect.ReadTenant(call.Header)
 	p.readContext(call, &received)
+	call.Declared = wire.ReadDeclared(call.Header)
 	wire.RemoveInternal(call.Header)
 	call.Execution = &Execution{
 		UserRequest: call.UserRequest,
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -13,6 +13,7 @@
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/policy"
+	"github.com/loomcleat/loomcleat/ratelimit"
 	"github.com/loomcleat/loomcleat/settings"
 	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
@@ -44,6 +45,8 @@
 	// BackEndLoad is the last load reported by the back end of this node, nil when it
 	// has reported none.
 	BackEndLoad atomic.Pointer[ReportedLoad]
+	// RateLimit paces the requests to the back end of this node by the limit that it declares.
+	RateLimit *ratelimit.Limiter
 	// Documents and Mesh are set by plug-ins during set-up.
 	Documents Documents
 	Mesh      Mesh
@@ -109,6 +112,7 @@
 		Dial:      options.Dial,
 		Dialect:   options.Dialect,
 		endpoints: options.Endpoints,
+		RateLimit: &ratelimit.Limiter{},
 		hooks:     newHooks(),
 		stopped:   make(chan struct{}),
 	}
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/instance"
+	"github.com/loomcleat/loomcleat/ratelimit"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -31,6 +32,9 @@
 type Mesh interface {
 	// SetState announces whether this process leaves and whether its back end is down.
 	SetState(leaving, down bool)
+	// SetRateLimit announces the rate limit that the back end of this process declares, in
+	// requests per second, nil for none.
+	SetRateLimit(limit *ratelimit.Rate)
 	// SetVotes announces the votes of other replicas that this process has in claim groups.
 	SetVotes(votes []string)
 	// SetSeeds replaces the addresses through which this process joins the mesh.
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/loomcleat/loomcleat/ratelimit"
 )
 
 // Machine is the membership state machine of one process. It is not safe for
@@ -99,6 +101,17 @@
 	})
 }
 
+// SetRateLimit announces the rate limit of the back end beside this process, nil for none.
+func (m *Machine) SetRateLimit(limit *ratelimit.Rate) {
+	if limit == nil && m.self.RateLimit == nil {
+		return
+	}
+	m.updateSelf(func(self *Member) {
+		self.RateLimit = limit
+		self.Incarnation++
+	})
+}
+
 // SetVotes announces the votes that the caller now holds. See Member.Votes.
 func (m *Machine) SetVotes(votes []string) {
 	if slices.Equal(m.self.Votes, votes) {
--- a/membership/types.go
+++ b/membership/types.go
@@ -1,5 +1,7 @@
 package membership
 
+import "github.com/loomcleat/loomcleat/ratelimit"
+
 // Status is the state of a member as seen by the mesh.
 type Status int
 
@@ -48,6 +50,9 @@
 	// Votes lists the votes of other claim replicas that the member holds. Machine
 	// does not interpret it.
 	Votes []string `json:"pl,omitempty"`
+	// RateLimit is how many requests a second the member's back end takes from all processes
+	// together, nil if it has declared no limit.
+	RateLimit *ratelimit.Rate `json:"rl,omitempty"`
 }
 
 // Kind is the purpose of a message.
--- a/plugin/admission/occupancy.go
+++ b/plugin/admission/occupancy.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -49,8 +50,20 @@
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
 			func() float64 { return float64(value(a.controller.State(time.Now()))) }))
 	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "loomcleat_backend_rate_limit",
+		Help: "Requests a second that the back end takes from all processes together, +Inf for no limit.",
+	}, a.rateLimit))
 	gauge("loomcleat_admission_limit", "Requests that may be in flight to the back end.", func(s admission.State) int { return s.Limit })
 	gauge("loomcleat_admission_in_flight", "Requests in flight to the back end.", func(s admission.State) int { return s.InFlight })
 	gauge("loomcleat_admission_waiting", "Requests waiting for a place.", func(s admission.State) int { return s.Waiting })
 	gauge("loomcleat_admission_level", "Priority below which requests are refused, 0 to 1024.", func(s admission.State) int { return s.Level })
 }
+
+// rateLimit returns the rate limit of the back end in requests per second, +Inf for no limit.
+func (a *admitter) rateLimit() float64 {
+	if limit, limited := a.process.RateLimit.Limit(); limited {
+		return float64(limit)
+	}
+	return math.Inf(1)
+}
--- a/plugin/admission/setup.go
+++ b/plugin/admission/setup.go
@@ -23,7 +23,7 @@
 	}
 	a := &admitter{
 		process:    process,
-		controller: admission.NewController(time.Now(), admission.Config{}),
+		controller: admission.NewController(time.Now(), admission.Config{RateLimit: process.RateLimit}),
 	}
 	process.UseInbound(name, a.middleware)
 	process.SetOccupancy(a.occupancy)
--- a/plugin/admission/slot.go
+++ b/plugin/admission/slot.go
@@ -25,6 +25,7 @@
 		now := time.Now()
 		serviceTime := now.Sub(s.started) - s.call.Execution.Waited(now)
 		s.admitter.controller.Done(now, s.ticket, admission.Outcome{OwnTime: max(serviceTime, 0), Refused: refused, Counted: counted})
+		s.admitter.advanceLater()
 	})
 }
 
--- a/plugin/admission/wait.go
+++ b/plugin/admission/wait.go
@@ -16,14 +16,19 @@
 	controller *admission.Controller
 	faults     faults
 	overloaded atomic.Bool
+	// A timer will call the controller when the rate limit has room for a queued request.
+	advancePending atomic.Bool
 }
 
 func (a *admitter) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
 		a.setBounds(call)
+		a.recallRateLimit(call)
 		queuedAt := time.Now()
 		ticket, err := a.wait(call)
-		call.Execution.RecordPressure(admission.WaitPressure(time.Since(queuedAt), call.Policy.QueueTime, err != nil))
+		if !ticket.AwaitedRate() {
+			call.Execution.RecordPressure(admission.WaitPressure(time.Since(queuedAt), call.Policy.QueueTime, err != nil))
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -41,6 +46,14 @@
 	a.controller.SetBounds(minimum, maximum, call.Policy.QueueTime)
 }
 
+// recallRateLimit applies a rate limit that this node reported to the sender of the call before it
+// was restarted.
+func (a *admitter) recallRateLimit(call *kernel.Call) {
+	if call.Declared.Limit != nil {
+		a.process.RateLimit.Recall(time.Now(), call.Declared.Incarnation, *call.Declared.Limit)
+	}
+}
+
 // usableSlots returns how many of the back end's slots may be used, 0 if the back end does not
 // report its slots.
 func (a *admitter) usableSlots() int {
@@ -61,9 +74,10 @@
 		MaximumQueueTime: admission.MaximumQueueTime(call.Policy.TargetLatency),
 	}
 	ticket := a.controller.Submit(time.Now(), request, func(verdict admission.Verdict) { verdicts <- verdict })
+	a.advanceLater()
 	select {
 	case verdict := <-verdicts:
-		return ticket, verdictError(verdict)
+		return ticket, a.verdictError(verdict)
 	default:
 		return a.waitQueued(call, ticket, verdicts)
 	}
@@ -81,17 +95,17 @@
 	for {
 		select {
 		case verdict := <-verdicts:
-			return ticket, verdictError(verdict)
+			return ticket, a.verdictError(verdict)
 		case <-timer.C:
-			a.controller.Expire(time.Now())
+			a.controller.Advance(time.Now())
 			timer.Reset(expireInterval)
 		case <-call.Context.Done():
-			return nil, a.withdraw(call, ticket, verdicts)
+			return ticket, a.withdraw(call, ticket, verdicts)
 		}
 	}
 }
 
-// expireInterval is the time between two calls of Expire for a request that waits longer than
+// expireInterval is the time between two calls of Advance for a request that waits longer than
 // the queue time of its policy (admission.Request.MaximumQueueTime).
 const expireInterval = 10 * time.Millisecond
 
@@ -100,6 +114,7 @@
 func (a *admitter) withdraw(call *kernel.Call, ticket *admission.Ticket, verdicts <-chan admission.Verdict) error {
 	if !a.controller.Withdraw(ticket) && <-verdicts == admission.Admitted {
 		a.controller.Done(time.Now(), ticket, admission.Outcome{})
+		a.advanceLater()
 	}
 	if context.Cause(call.Context) == context.DeadlineExceeded {
 		return result.New(result.DeadlineTooShort, "the deadline passed while waiting for a place")
@@ -107,12 +122,29 @@
 	return result.New(result.CallerGone, "the caller went away while waiting for a place")
 }
 
-func verdictError(verdict admission.Verdict) error {
+// advanceLater makes sure that the controller is called when the rate limit of the back end has
+// room for a queued request.
+func (a *admitter) advanceLater() {
+	wait := a.controller.RateWait(time.Now())
+	if wait == 0 || a.advancePending.Swap(true) {
+		return
+	}
+	time.AfterFunc(wait, func() {
+		a.advancePending.Store(false)
+		a.controller.Advance(time.Now())
+		a.advanceLater()
+	})
+}
+
+func (a *admitter) verdictError(verdict admission.Verdict) error {
 	switch verdict {
 	case admission.Admitted:
 		return nil
 	case admission.TooLate:
 		return result.New(result.DeadlineTooShort, "the back end would not answer within the time left")
+	case admission.RateLimited:
+		wait := a.controller.RateRetryAfter(time.Now())
+		return result.New(result.RateLimited, "the back end takes no more requests a second").WithRetryAfter(wait)
 	case admission.BelowLevel:
 		return result.New(result.Overloaded, "the priority is below the admission level").WithUsualRetryAfter()
 	default:
--- a/plugin/forward/declaration.go
+++ b/plugin/forward/declaration.go
@@ -4,83 +4,93 @@
 	"math"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/ratelimit"
 )
 
-// loggedChange is the share by which a rate limit must change to be logged again. A back end may
-// compute its limit anew for each answer.
-const loggedChange = 0.2
+// announcedChange is the share by which a rate limit must change to be announced again. A back
+// end may compute its limit anew for each answer.
+const announcedChange = 0.2
 
-// declarations are the declarations of the back end that were logged last.
-type declarations struct {
+// announceInterval is the minimum time between two announcements of a rate limit that changes
+// without beginning or ending.
+const announceInterval = 500 * time.Millisecond
+
+// announcement is the rate limit that was announced last.
+type announcement struct {
 	mutex sync.Mutex
-	// Rate limit, nil for none.
-	rate *ratelimit.Rate
-	// Incarnation that declared that it is leaving, "" for none.
-	leaving string
+	// Nil for no limit.
+	limit *ratelimit.Rate
+	at    time.Time
+}
+
+// replace stores the limit in force, nil for none, and reports whether it must be announced.
+func (a *announcement) replace(now time.Time, limit *ratelimit.Rate) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if limit == nil && a.limit == nil {
+		return false
+	}
+	if limit != nil && a.limit != nil {
+		change := math.Abs(float64(*limit - *a.limit))
+		if change <= announcedChange*float64(*a.limit) || now.Sub(a.at) < announceInterval {
+			return false
+		}
+	}
+	a.limit, a.at = limit, now
+	return true
 }
 
-// recordDeclarations records what the back end declares about itself in the header of an answer.
-// incarnation is the one that was expected to answer.
-func (f *forwarder) recordDeclarations(header http.Header, incarnation string) {
-	f.recordRateLimit(header, incarnation)
-	f.recordLeaving(header, incarnation)
+// recordDeclarations records what the back end declares about itself in an answer. incarnation is
+// the one that was expected to answer.
+func (f *forwarder) recordDeclarations(response *http.Response, sentAt time.Time, incarnation string) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return // another incarnation answered
+	}
+	f.recordRateLimit(response.Header, sentAt, incarnation)
+	f.recordLeaving(response.Header, incarnation)
 }
 
-func (f *forwarder) recordRateLimit(header http.Header, incarnation string) {
+func (f *forwarder) recordRateLimit(header http.Header, sentAt time.Time, incarnation string) {
 	if f.process.Dialect.ReadRateLimit == nil {
 		return
 	}
-	rate, err := f.process.Dialect.ReadRateLimit(header)
+	limit, err := f.process.Dialect.ReadRateLimit(header)
 	if err != nil {
 		f.process.Counters.InvalidRateLimits.Add(1)
 		f.process.Log.Emit(event.RateLimitNotUnderstood, "backend", f.process.Settings.Backend, "instance", incarnation, "error", err)
 		return
 	}
-	if !f.declared.changeRate(rate) {
+	now := time.Now()
+	f.process.RateLimit.Observe(ratelimit.Declaration{Incarnation: incarnation, SentAt: sentAt, ReceivedAt: now, Limit: limit})
+	f.announceRateLimit(now, incarnation)
+}
+
+// announceRateLimit logs and announces to peers a change of the rate limit in force.
+func (f *forwarder) announceRateLimit(now time.Time, incarnation string) {
+	var limit *ratelimit.Rate
+	if inForce, limited := f.process.RateLimit.Limit(); limited {
+		limit = &inForce
+	}
+	if !f.announced.replace(now, limit) {
 		return
 	}
-	if rate == nil {
-		f.process.Log.Emit(event.RateLimitDeclared, "instance", incarnation, "limited", false)
+	f.process.Loop.Post(func(time.Time) { f.process.Mesh.SetRateLimit(limit) })
+	sent := f.process.Counters.BackEndRequests.Load()
+	if limit == nil {
+		f.process.Log.Emit(event.RateLimitDeclared, "instance", incarnation, "limited", false, "sent", sent)
 		return
 	}
-	f.process.Log.Emit(event.RateLimitDeclared, "instance", incarnation, "limited", true, "requests_per_second", float64(*rate),
-		"sent", f.process.Counters.BackEndRequests.Load())
+	f.process.Log.Emit(event.RateLimitDeclared, "instance", incarnation, "limited", true, "requests_per_second", float64(*limit), "sent", sent)
 }
 
 func (f *forwarder) recordLeaving(header http.Header, incarnation string) {
 	if f.process.Dialect.IsLeaving == nil || !f.process.Dialect.IsLeaving(header) {
 		return
 	}
-	if f.declared.changeLeaving(incarnation) {
+	if last := f.leavingLogged.Swap(&incarnation); last == nil || *last != incarnation {
 		f.process.Log.Emit(event.LeavingDeclared, "backend", f.process.Settings.Backend, "instance", incarnation)
 	}
 }
-
-// changeRate stores a rate limit and reports whether it differs enough from the last one to be
-// logged.
-func (d *declarations) changeRate(rate *ratelimit.Rate) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if rate == nil || d.rate == nil {
-		changed := rate != d.rate
-		d.rate = rate
-		return changed
-	}
-	if math.Abs(float64(*rate-*d.rate)) <= loggedChange*float64(*d.rate) {
-		return false
-	}
-	d.rate = rate
-	return true
-}
-
-// changeLeaving stores the incarnation that is leaving and reports whether it is another one.
-func (d *declarations) changeLeaving(incarnation string) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	changed := d.leaving != incarnation
-	d.leaving = incarnation
-	return changed
-}
--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -20,8 +20,10 @@
 	// Whether the back end refuses connections.
 	down atomic.Bool
 	// Whether the back end reports on its health path that it is draining.
-	draining atomic.Bool
-	declared declarations
+	draining  atomic.Bool
+	announced announcement
+	// Incarnation that was logged last as leaving, nil for none.
+	leavingLogged atomic.Pointer[string]
 }
 
 // handle sends the call to the back end.
@@ -37,6 +39,7 @@
 	}
 	f.process.Dialect.WriteRemaining(call.Header, left)
 	f.process.Counters.BackEndRequests.Add(1)
+	sentAt := time.Now()
 	response, err := f.transmitter.Send(call.Context, call, f.process.Settings.Backend, call.Header)
 	if err != nil {
 		if result.From(err).Code == result.BackendUnreachable {
@@ -49,7 +52,7 @@
 		_ = response.Body.Close() // unread, which also closes the connection
 		return nil, err
 	}
-	f.recordDeclarations(response.Header, expected)
+	f.recordDeclarations(response, sentAt, expected)
 	if err := f.checkAnswer(call, response, expected); err != nil {
 		_ = response.Body.Close() // unread, which also closes the connection
 		return nil, err
@@ -77,8 +80,8 @@
 	}
 }
 
-// expectIncarnation sets the incarnation of the back end that may run the call and returns its id,
-// "" if the back end sends no heartbeats. It checks the state again because the back end may have
+// expectIncarnation sets the incarnation of the back end that may run the call and returns it, ""
+// if the back end sends no heartbeats. It checks the state again because the back end may have
 // left while the call waited for a slot.
 func (f *forwarder) expectIncarnation(call *kernel.Call) (incarnation string, err error) {
 	if f.process.BackEnd == nil {
@@ -92,7 +95,7 @@
 		call.Header.Set(header, state.ID)
 	}
 	call.Incarnation = state.ID
-	return state.ID, nil
+	return state.Incarnation(), nil
 }
 
 // checkRequestID returns an error if the response answers another request.
--- a/plugin/forward/health.go
+++ b/plugin/forward/health.go
@@ -93,8 +93,13 @@
 const drainingWord = "draining"
 
 // reportsDraining requests the health path and reports whether the back end is draining. If the
-// response is truncated, the part received counts.
+// response is truncated, the part received counts. While the back end takes no more requests a
+// second, the last known state is kept.
 func (f *forwarder) reportsDraining(ctx context.Context, client *http.Client, path string) bool {
+	sentAt := time.Now()
+	if !f.process.RateLimit.Take(sentAt) {
+		return f.draining.Load()
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.process.Settings.Backend+path, nil)
 	if err != nil {
 		return false // the health path in the settings is invalid
@@ -104,6 +109,7 @@
 		return f.draining.Load() // no response: keep the last known state
 	}
 	defer response.Body.Close()
+	f.recordRateLimit(response.Header, sentAt, "")
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maximumHealthBody))
 	return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(body), drainingWord)
 }
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -75,6 +75,7 @@
 func (p *plugin) publish() {
 	before, after := p.State(), p.tracker.State()
 	p.state.Store(&after)
+	p.process.RateLimit.Begin(after.Incarnation())
 	if before.ID != after.ID {
 		p.process.Log.Emit(event.InstanceChanged, "instance", after.ID, "before", before.ID, "slots", after.Slots)
 	}
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -16,6 +16,7 @@
 	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
+	"github.com/loomcleat/loomcleat/ratelimit"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -87,6 +88,9 @@
 	m.stateMachine.SetState(leaving || m.process.LeaveAnnounced(), down)
 }
 
+// SetRateLimit implements kernel.Mesh.
+func (m *mesh) SetRateLimit(limit *ratelimit.Rate) { m.stateMachine.SetRateLimit(limit) }
+
 // SetVotes implements kernel.Mesh.
 func (m *mesh) SetVotes(votes []string) { m.stateMachine.SetVotes(votes) }
 
--- a/plugin/retry/retrier.go
+++ b/plugin/retry/retrier.go
@@ -72,9 +72,14 @@
 	s.Unavailable = s.Unavailable || s.Err.Code.Conclusion().Unavailable
 }
 
-// recordPressure records pressure for a call whose last attempt the back end refused.
+// recordPressure records pressure for a call whose last attempt the back end refused, or that no
+// back end took because of its rate limit.
 func recordPressure(call *kernel.Call, err error) {
-	if err != nil && result.From(err).Code.Conclusion().RefusedByBackEnd {
+	if err == nil {
+		return
+	}
+	conclusion := result.From(err).Code.Conclusion()
+	if conclusion.RefusedByBackEnd || conclusion.RateLimit {
 		call.RecordPressure(admission.RefusedPressure)
 	}
 }
--- a/plugin/routing/answer.go
+++ b/plugin/routing/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/loomcleat/loomcleat/balance"
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
@@ -25,7 +26,9 @@
 	}
 	a.recordReport(&report)
 	a.call.Budget.ReturnUnused(a.delegated, report.UnusedRetries)
-	if response.Header.Get(result.HeaderCode) != "" {
+	refused := response.Header.Get(result.HeaderCode) != ""
+	a.recordDeclared(wire.ReadDeclared(response.Header), refused)
+	if refused {
 		defer response.Body.Close()
 		return nil, readRefusal(response)
 	}
@@ -49,6 +52,15 @@
 	}
 }
 
+// recordDeclared records what the node's back end has declared about itself. A refusal without a
+// restriction shows nothing, since the node may not have heard from its back end yet.
+func (a *attempt) recordDeclared(declared instance.Declared, refused bool) {
+	if refused && !declared.Restricted() {
+		return
+	}
+	a.router.memory.Record(time.Now(), a.started, a.target.Address, declared)
+}
+
 // intHeader returns the integer in a header, 0 if the header is missing or malformed.
 func intHeader(header http.Header, name string) int {
 	value, err := strconv.Atoi(header.Get(name))
@@ -77,10 +89,23 @@
 	}
 	refused := result.New(code, "%s", body.Message)
 	refused.Ran = response.Header.Get(result.HeaderOutcome) != result.OutcomeNotRun
-	refused.RetryAfter = time.Duration(intHeader(response.Header, "Retry-After")) * time.Second
+	refused.RetryAfter = retryAfter(response.Header)
 	return refused
 }
 
+// retryAfter returns the Retry-After in the answer of a node, in seconds with or without decimals,
+// 0 if the header is missing or malformed.
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0 && seconds < maximumRetryAfter.Seconds()) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// maximumRetryAfter bounds the Retry-After that is accepted from a node.
+const maximumRetryAfter = time.Hour
+
 // attemptBody ends the attempt at the end of the body.
 type attemptBody struct {
 	io.ReadCloser
--- a/plugin/routing/router.go
+++ b/plugin/routing/router.go
@@ -6,6 +6,7 @@
 
 	"github.com/loomcleat/loomcleat/balance"
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
 )
@@ -14,7 +15,9 @@
 type router struct {
 	process     *kernel.Process
 	transmitter *kernel.Transmitter
-	mutex       sync.RWMutex
+	// What nodes have reported of their back ends.
+	memory instance.Memory
+	mutex  sync.RWMutex
 	// Balancers by service.
 	balancers map[string]*balance.Balancer
 }
@@ -22,6 +25,7 @@
 // update updates the balancers with the nodes of the mesh. It runs on the control loop.
 func (r *router) update(_ time.Time, members []membership.Member) {
 	targets := map[string][]balance.Target{}
+	callers := len(kernel.LiveIDs(members))
 	for _, member := range members {
 		if member.Service == "" || member.Traffic == "" {
 			continue
@@ -30,12 +34,14 @@
 			continue
 		}
 		targets[member.Service] = append(targets[member.Service], balance.Target{
-			ID:      member.ID,
-			Address: member.Traffic,
-			Region:  member.Region,
-			Zone:    member.Zone,
-			Suspect: member.Status == membership.Suspect,
-			Leaving: member.Leaving,
+			ID:        member.ID,
+			Address:   member.Traffic,
+			Region:    member.Region,
+			Zone:      member.Zone,
+			Suspect:   member.Status == membership.Suspect,
+			Leaving:   member.Leaving,
+			RateLimit: member.RateLimit,
+			Callers:   callers,
 		})
 	}
 	r.mutex.Lock()
--- a/result/conclusion.go
+++ b/result/conclusion.go
@@ -15,6 +15,9 @@
 	// Overload means that the request was refused for lack of capacity. The gate of its
 	// route estimates when capacity is available again.
 	Overload bool
+	// RateLimit means that the back end takes no more requests a second. It is no sign of
+	// pressure as long as another back end of the service takes the request.
+	RateLimit bool
 	// BackEndFault means that the back end itself failed: its answer was lost or invalid.
 	BackEndFault bool
 	// Node is the evidence about the node to which the attempt was sent.
@@ -67,6 +70,7 @@
 	BackendRefused:     {Next: OtherNode, RefusedByBackEnd: true, Overload: true},
 	BackendLeft:        {Next: OtherNode, Unavailable: true},
 	RequestQuarantined: {Node: NoEvidence},
+	RateLimited:        {Next: OtherNode, Overload: true, RateLimit: true},
 	DeadlineExceeded:   {Next: MayHaveRun},
 	ConnectionLost:     {Next: MayHaveRun, BackEndFault: true},
 	CallerCancelled:    {Node: NoEvidence},
--- a/result/retryafter.go
+++ b/result/retryafter.go
@@ -8,6 +8,8 @@
 //
 //   - overload (Conclusion.Overload): the time until the gate of the route admits
 //     everything again (admission.Gate.ReopensAfter, spread by SpreadWait)
+//   - RateLimited: the same, but at least the time until the back end takes a request that
+//     comes behind those that wait for it (admission.Controller.RateRetryAfter)
 //   - QuotaExceeded: the time until the tenant's bucket has a token (quota.Decision)
 //   - RequestQuarantined: the time until the quarantine of the request ends
 //     (quarantine.Ledger)
@@ -31,6 +33,7 @@
 	Overloaded:     {usual: usualWait},
 	ShedEarly:      {usual: usualWait},
 	BackendRefused: {usual: usualWait},
+	RateLimited:    {usual: usualWait},
 
 	// Briefly unavailable: a restart takes about a second, and a back end sends a
 	// heartbeat about once a second.
--- a/result/retryafter_test.go
+++ b/result/retryafter_test.go
@@ -15,7 +15,7 @@
 		StoreUnavailable: time.Second, Overloaded: time.Second, ShedEarly: time.Second, Draining: time.Second,
 		NoNode: time.Second, ClaimUnavailable: time.Second, BackendUnreachable: time.Second, NotReady: time.Second,
 		NodeRefused: time.Second, BackendRefused: time.Second, BackendLeft: time.Second, KeysUnproven: time.Second,
-		QuotaExceeded: time.Second,
+		QuotaExceeded: time.Second, RateLimited: time.Second,
 	}
 	for _, definition := range Table {
 		t.Run(definition.Name, func(t *testing.T) {
--- a/wire/golden_test.go
+++ b/wire/golden_test.go
@@ -79,6 +79,7 @@
 		{wire.HeaderToken, "Loomcleat-Context"},
 		{wire.HeaderCall, "Loomcleat-Call"},
 		{wire.HeaderReport, "Loomcleat-Report"},
+		{wire.HeaderBackEnd, "Loomcleat-Back-End"},
 		{wire.HeaderIdempotencyKey, "Idempotency-Key"},
 		{wire.HeaderAPIKey, "X-Api-Key"},
 		{wire.HeaderTenant, "Tenant-Name"},
