A back end that declares in its answers that it is leaving gets no more requests

What back ends saw: one that declared in all its answers that it is leaving, while its heartbeats said nothing, went on getting requests: 33 later than 2 s after the first such answer. Cause: of the same class as the rate limit: a declaration in answers had no reader. Change: an answer that declares it closes the back end as a heartbeat that says draining does, before that answer is passed on, and for good. A node that was restarted learns it from its callers and closes the back end at once, since nobody knows when it began. Safe: the state that requests read is changed by compare-and-swap and leaving is never undone within an incarnation; the control loop follows.

--- a/e2e/declaration_test.go
+++ b/e2e/declaration_test.go
@@ -32,8 +32,9 @@
 // declaringBackEnd is a back end that declares a rate limit, or that it is leaving, in its
 // answers.
 type declaringBackEnd struct {
-	node    *platformNode
-	address string
+	node     *platformNode
+	address  string
+	storeURL string
 	// Value of the header with the rate limit, "" for none.
 	limit   atomic.Pointer[string]
 	leaving atomic.Bool
@@ -100,7 +101,7 @@
 	stub.Put("op/config", platformConfiguration(3, "front"))
 	backEnds := []*declaringBackEnd{}
 	for range count {
-		b := &declaringBackEnd{node: newPlatformNode(t, "front")}
+		b := &declaringBackEnd{node: newPlatformNode(t, "front"), storeURL: store.URL}
 		b.declare("")
 		server := httptest.NewServer(http.HandlerFunc(b.serve))
 		t.Cleanup(server.Close)
@@ -234,3 +235,28 @@
 	is.True(most <= limitAllowed)
 	is.True(counted.refused.Load() > 0)
 }
+
+// TestRestartedNodeKeepsLeavingBackEndClosed guards against a node that was restarted and sends
+// requests to a back end that has declared that it is leaving, after a heartbeat that was late.
+func TestRestartedNodeKeepsLeavingBackEndClosed(t *testing.T) {
+	is := is.New(t)
+	backEnds := startDeclaringBackEnds(t, 1)
+	entry := startEntry(t, backEnds[0])
+	backEnds[0].leaving.Store(true)
+	is.Equal(entry.get("/front/x", "").status, http.StatusOK)
+	backEnds[0].restart(t)
+	time.Sleep(drainTime)
+	is.Equal(entry.get("/front/x", "").status, http.StatusServiceUnavailable)
+	is.Equal(len(backEnds[0].arrivalsAfter(drainTime)), 0)
+}
+
+// startEntry starts a node of another service, whose callers call the given back end.
+func startEntry(t *testing.T, b *declaringBackEnd) *platformNode {
+	t.Helper()
+	is := is.New(t)
+	entry := startPlatformNode(t, b.storeURL, "deep")
+	eventually(t, "readiness", func() bool { return entry.probeReadiness() == http.StatusOK })
+	is.Equal(entry.sendHeartbeat("ready"), http.StatusOK)
+	entry.getUntilServed(t, "/front/x", "")
+	return entry
+}
--- a/instance/declared_test.go
+++ b/instance/declared_test.go
@@ -46,3 +46,30 @@
 	_, known := memory.Lookup(fmt.Sprint("node-", 3*maximumEntries-1))
 	is.True(known) // the last one
 }
+
+// TestDeclaredLeaving guards against a back end that stays open although it has declared that it
+// is leaving, and against one that is closed by a declaration of another incarnation.
+func TestDeclaredLeaving(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	newTracker := func() *Tracker {
+		tracker := NewTracker(Config{Service: "s", CloseAfter: time.Second})
+		is.NoErr(tracker.Observe(now, Report{ID: "i-1", Service: "s", Sequence: 1}))
+		return tracker
+	}
+	tracker := newTracker()
+	is.True(!tracker.ObserveLeaving(now, "i-0"))
+	is.True(tracker.State().Open(now))
+	is.True(tracker.ObserveLeaving(now, "i-1"))
+	is.True(!tracker.ObserveLeaving(now.Add(time.Second/2), "i-1")) // does not extend the time
+	is.True(tracker.State().Open(now.Add(time.Second - 1)))
+	is.True(!tracker.State().Open(now.Add(time.Second)))
+	is.NoErr(tracker.Observe(now, Report{ID: "i-1", Service: "s", Sequence: 2})) // a heartbeat that says ready
+	is.True(!tracker.State().Open(now.Add(time.Second)))
+
+	tracker = newTracker()
+	is.True(!tracker.ObserveClosed(now, "i-0"))
+	is.True(tracker.State().Open(now))
+	is.True(tracker.ObserveClosed(now, "i-1"))
+	is.True(!tracker.State().Open(now))
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -55,6 +55,17 @@
 	return !s.Leaving || now.Before(s.ClosesAt)
 }
 
+// WithLeaving returns the state with an incarnation leaving, which takes no more requests from
+// closesAt on. It returns the state unchanged if another incarnation is running, or if this one is
+// leaving already.
+func (s State) WithLeaving(incarnation string, closesAt time.Time) State {
+	if s.Leaving || s.Incarnation() != incarnation {
+		return s
+	}
+	s.Leaving, s.ClosesAt = true, closesAt
+	return s
+}
+
 // Config configures a Tracker.
 type Config struct {
 	// Service is the service of the back end. Heartbeats of other services are rejected.
@@ -152,6 +163,26 @@
 	}
 }
 
+// ObserveLeaving processes an answer of an incarnation that declares that it is leaving. It reports
+// whether that was not known.
+func (t *Tracker) ObserveLeaving(now time.Time, incarnation string) bool {
+	if incarnation != t.state.Incarnation() || t.state.Leaving {
+		return false
+	}
+	t.leave(now)
+	return true
+}
+
+// ObserveClosed processes the information that an incarnation has been leaving for an unknown time,
+// so that no more requests may be sent to it. It reports whether that was not known.
+func (t *Tracker) ObserveClosed(now time.Time, incarnation string) bool {
+	known := !t.ObserveLeaving(now, incarnation)
+	if !known {
+		t.state.ClosesAt = now
+	}
+	return !known
+}
+
 // leave marks the back end as leaving. Leaving is final, so that an acknowledged announcement
 // stays valid.
 func (t *Tracker) leave(now time.Time) {
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -59,6 +59,8 @@
 	Observe(ctx context.Context, report instance.Report) error
 	// Leave handles the announcement of an incarnation that it leaves.
 	Leave(ctx context.Context, id string) error
+	// ObserveLeaving reports that an incarnation declared in an answer that it is leaving.
+	ObserveLeaving(incarnation string)
 	// ObserveReplacement reports that the incarnation actual refused a request sent to the
 	// incarnation expected.
 	ObserveReplacement(expected, actual string)
--- a/plugin/forward/declaration.go
+++ b/plugin/forward/declaration.go
@@ -87,10 +87,14 @@
 }
 
 func (f *forwarder) recordLeaving(header http.Header, incarnation string) {
-	if f.process.Dialect.IsLeaving == nil || !f.process.Dialect.IsLeaving(header) {
+	if f.process.Dialect.IsLeaving == nil {
 		return
 	}
-	if last := f.leavingLogged.Swap(&incarnation); last == nil || *last != incarnation {
-		f.process.Log.Emit(event.LeavingDeclared, "backend", f.process.Settings.Backend, "instance", incarnation)
+	leaving := f.process.Dialect.IsLeaving(header)
+	switch {
+	case f.process.BackEnd == nil:
+		f.setDraining(leaving)
+	case leaving:
+		f.process.BackEnd.ObserveLeaving(incarnation)
 	}
 }
--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -22,8 +22,6 @@
 	// Whether the back end reports on its health path that it is draining.
 	draining  atomic.Bool
 	announced announcement
-	// Incarnation that was logged last as leaving, nil for none.
-	leavingLogged atomic.Pointer[string]
 }
 
 // handle sends the call to the back end.
--- a/plugin/forward/health.go
+++ b/plugin/forward/health.go
@@ -110,6 +110,9 @@
 	}
 	defer response.Body.Close()
 	f.recordRateLimit(response.Header, sentAt, "")
+	if isLeaving := f.process.Dialect.IsLeaving; isLeaving != nil && isLeaving(response.Header) {
+		return true
+	}
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maximumHealthBody))
 	return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(body), drainingWord)
 }
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -25,7 +25,9 @@
 type plugin struct {
 	process *kernel.Process
 	tracker *instance.Tracker
-	state   atomic.Pointer[instance.State]
+	// Time in which requests are still sent to a leaving back end.
+	closeAfter time.Duration
+	state      atomic.Pointer[instance.State]
 	// Whether a connection was refused since the last heartbeat.
 	unreachable atomic.Bool
 }
@@ -55,6 +57,24 @@
 	})
 }
 
+func (p *plugin) ObserveLeaving(incarnation string) {
+	observedAt := clock.Now().Time()
+	before, after := p.changeState(func(state instance.State) instance.State {
+		return state.WithLeaving(incarnation, observedAt.Add(p.closeAfter))
+	})
+	if before.Leaving == after.Leaving {
+		return
+	}
+	// The answer already reports the new state to the process that passes it on. The control loop,
+	// which owns the tracker, follows.
+	p.process.Loop.Post(func(time.Time) {
+		if p.tracker.ObserveLeaving(observedAt, incarnation) {
+			p.process.Log.Emit(event.LeavingDeclared, "backend", p.process.Settings.Backend, "instance", incarnation)
+		}
+		p.publish()
+	})
+}
+
 func (p *plugin) ObserveReplacement(expected, actual string) {
 	p.process.Loop.Post(func(time.Time) {
 		p.tracker.ObserveReplacement(expected, actual)
@@ -70,11 +90,27 @@
 	p.process.Loop.Post(func(time.Time) { p.announce() })
 }
 
+// changeState replaces the state that requests read and returns the one before and the one after.
+func (p *plugin) changeState(change func(instance.State) instance.State) (before, after instance.State) {
+	for {
+		old := p.state.Load()
+		replaced := change(*old)
+		if p.state.CompareAndSwap(old, &replaced) {
+			return *old, replaced
+		}
+	}
+}
+
 // publish publishes the state of the tracker to the request path and to peers, and logs changes. It
 // runs on the control loop.
 func (p *plugin) publish() {
-	before, after := p.State(), p.tracker.State()
-	p.state.Store(&after)
+	current := p.tracker.State()
+	before, after := p.changeState(func(state instance.State) instance.State {
+		if state.Leaving {
+			return current.WithLeaving(state.Incarnation(), state.ClosesAt)
+		}
+		return current
+	})
 	p.process.RateLimit.Begin(after.Incarnation())
 	if before.ID != after.ID {
 		p.process.Log.Emit(event.InstanceChanged, "instance", after.ID, "before", before.ID, "slots", after.Slots)
@@ -94,10 +130,30 @@
 
 func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
 	return kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
-		state := p.State()
+		state := p.recall(call)
 		if !state.Open(clock.Now().Time()) {
 			return nil, result.New(result.BackendLeft, "the back end %q of this node takes no more requests", state.ID).WithUsualRetryAfter()
 		}
 		return next.Handle(call)
 	})
 }
+
+// recall closes the back end for a call whose sender knows from this node, before it was restarted,
+// that the back end is leaving. It returns the state after that. When the back end began to leave
+// is not known, so that no time is left for further requests.
+func (p *plugin) recall(call *kernel.Call) instance.State {
+	state, declared := p.State(), call.Declared
+	if !declared.Leaving || state.Leaving || declared.Incarnation != state.Incarnation() {
+		return state
+	}
+	err := p.process.Loop.Do(call.Context, func(now time.Time) {
+		if p.tracker.ObserveClosed(now, declared.Incarnation) {
+			p.process.Log.Emit(event.LeavingDeclared, "instance", declared.Incarnation, "recalled", true)
+		}
+		p.publish()
+	})
+	if err != nil {
+		return instance.State{ID: state.ID, Leaving: true} // closed, also if the control loop is busy
+	}
+	return p.State()
+}
--- a/plugin/instance/setup.go
+++ b/plugin/instance/setup.go
@@ -21,12 +21,11 @@
 	if process.Settings.Heartbeats == "" {
 		return nil
 	}
+	closeAfter := process.Settings.BackendDrain.Std() / closeDivisor
 	p := &plugin{
-		process: process,
-		tracker: instance.NewTracker(instance.Config{
-			Service:    process.Settings.Service,
-			CloseAfter: process.Settings.BackendDrain.Std() / closeDivisor,
-		}),
+		process:    process,
+		closeAfter: closeAfter,
+		tracker:    instance.NewTracker(instance.Config{Service: process.Settings.Service, CloseAfter: closeAfter}),
 	}
 	p.state.Store(&instance.State{})
 	process.BackEnd = p
