e2e: a back end that starts again under its id stays closed: a test that fails

A back end may start again under the id that it had; it then gets nothing for good, and its heartbeats are dropped as late ones.

--- /dev/null
+++ b/e2e/incarnation_test.go
@@ -0,0 +1,44 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// heartbeatOf sends a heartbeat of one life of a back end, started at born in Unix milliseconds,
+// and returns the HTTP status.
+func (n *platformNode) heartbeatOf(born, sequence int64, state string) int {
+	body := fmt.Sprintf(`{"born":%d,"address":"127.0.0.1:1","info":{"service":%q,"version":"v1","zone":"z","slots":4},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
+		born, n.service, state, sequence)
+	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+*n.incarnation.Load(), strings.NewReader(body))
+	return fetchStatus(request)
+}
+
+// TestBackEndStartsAgainUnderItsID guards against a back end that starts again under its id and
+// stays closed because it was leaving before, or whose heartbeats are taken for late ones.
+func TestBackEndStartsAgainUnderItsID(t *testing.T) {
+	is := is.New(t)
+	backEnd := startDeclaringBackEnds(t, 1)[0]
+	node := backEnd.node
+	firstStart := time.Now().UnixMilli()
+	is.Equal(node.heartbeatOf(firstStart, 100, "ready"), http.StatusOK)
+	node.getUntilServed(t, "/front/x", "")
+	backEnd.leaving.Store(true)
+	is.Equal(node.get("/front/x", "").status, http.StatusOK)
+	eventually(t, "the leaving back end to be closed", func() bool { return node.get("/front/x", "").status == http.StatusServiceUnavailable })
+
+	backEnd.leaving.Store(false)
+	secondStart := firstStart + 5000
+	is.Equal(node.heartbeatOf(secondStart, 1, "ready"), http.StatusOK)
+	is.Equal(node.heartbeatOf(firstStart, 101, "draining"), http.StatusOK) // a late one of the first life
+	time.Sleep(drainTime)
+	node.getUntilServed(t, "/front/x", "")
+
+	is.Equal(node.heartbeatOf(secondStart, 2, "draining"), http.StatusOK)
+	eventually(t, "the draining back end to be closed", func() bool { return node.get("/front/x", "").status == http.StatusServiceUnavailable })
+}
