A back end that starts again under its id is another incarnation

What callers saw: a back end that had been leaving and started again under its id got nothing any more, and its heartbeats were dropped as late ones. Cause: an incarnation was taken for an id. What holds for one life of a back end (leaving, a rate limit, the order of heartbeats, crashes) was kept for the next. Change: the identity of an incarnation is its id and the time of its start, where the back end tells it. Heartbeats and an announced stop of an earlier start change nothing; a start that seems earlier, since the clock was set back, is believed after 5 s of silence. Rate limits, recalled declarations and the crash check go by it. Logs name it id@start. Safe: without a time of start all is as before (tests of the tracker unchanged).

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -4,11 +4,15 @@
 //
 // The package holds that state in memory; it does no I/O and reads no clock. The back end
 // reports it in heartbeats, which may arrive late and out of order. Each start of a back end is
-// a new incarnation with a new id. Package platform decodes the heartbeats and plugin/instance
-// passes them on.
+// a new incarnation. It may have the id of an earlier one; then the time of its start tells them
+// apart. Package platform decodes the heartbeats and plugin/instance passes them on.
+//
+// Declared is what a back end declares about itself in its answers. Memory holds what other
+// processes have been told of it.
 package instance
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/loomcleat/loomcleat/result"
@@ -16,8 +20,11 @@
 
 // Report is one heartbeat of a back end.
 type Report struct {
-	// ID identifies the incarnation.
+	// ID identifies the back end. A back end that starts again may keep it.
 	ID string
+	// Born is when the incarnation started, in Unix milliseconds by the back end's clock, 0 if
+	// not reported.
+	Born int64
 	// Service is the service that the back end runs.
 	Service string
 	// Address is where the back end accepts requests, host:port.
@@ -32,8 +39,11 @@
 
 // State is what the node knows of the back end. A returned State does not change.
 type State struct {
-	// ID identifies the incarnation, "" if none is known.
+	// ID identifies the back end, "" if none is known.
 	ID string
+	// Born is when the incarnation started, in Unix milliseconds by the back end's clock, 0 if
+	// unknown.
+	Born int64
 	// Slots is the number of requests that the back end runs at a time, 0 if unknown.
 	Slots int
 	// Leaving is whether the back end is draining or has announced its stop.
@@ -45,7 +55,12 @@
 
 // Incarnation identifies the incarnation among all that run one after another beside a node, ""
 // if none is known.
-func (s State) Incarnation() string { return s.ID }
+func (s State) Incarnation() string {
+	if s.Born == 0 {
+		return s.ID
+	}
+	return s.ID + "@" + strconv.FormatInt(s.Born, 10)
+}
 
 // Open reports whether requests may be sent to the back end.
 func (s State) Open(now time.Time) bool {
@@ -83,13 +98,27 @@
 
 const defaultCloseAfter = time.Second
 
+// silentAfter is the time without a heartbeat after which an incarnation with the same id replaces
+// the current one even if it seems to have started earlier: its clock was set back. It spans
+// several heartbeats.
+const silentAfter = 5 * time.Second
+
 // Tracker tracks the back end of one node. It is not safe for concurrent use.
 type Tracker struct {
 	config   Config
 	state    State
 	sequence uint64
-	// Highest sequence of each earlier incarnation, by id.
-	previous map[string]uint64
+	// Time of the last heartbeat of the current incarnation.
+	heardAt time.Time
+	// Last incarnation of each earlier back end, by id.
+	previous map[string]earlier
+}
+
+// earlier is an incarnation that has ended.
+type earlier struct {
+	born int64
+	// Highest sequence of its heartbeats.
+	sequence uint64
 }
 
 // maximumPrevious is the maximum number of earlier incarnations that are remembered.
@@ -100,7 +129,7 @@
 	if config.CloseAfter == 0 {
 		config.CloseAfter = defaultCloseAfter
 	}
-	return &Tracker{config: config, previous: map[string]uint64{}}
+	return &Tracker{config: config, previous: map[string]earlier{}}
 }
 
 // State returns the current state of the back end.
@@ -117,13 +146,15 @@
 	case t.config.Address != "" && report.Address != t.config.Address:
 		return result.New(result.BadRequest, "the heartbeat is of %q, the back end of this node is at %q", report.Address, t.config.Address)
 	}
-	if report.ID != t.state.ID && !t.begin(report) {
+	if !t.isCurrent(report) && !t.begin(now, report) {
 		return nil
 	}
 	if report.Sequence < t.sequence {
 		return nil // arrived late, after a newer heartbeat
 	}
+	t.heardAt = now
 	t.sequence = report.Sequence
+	t.state.Born = max(t.state.Born, report.Born)
 	t.state.Slots = report.Slots
 	if report.Draining {
 		t.leave(now)
@@ -131,19 +162,48 @@
 	return nil
 }
 
+// isCurrent reports whether a heartbeat is of the current incarnation. One without a time of start,
+// or after heartbeats without one, is taken to be of the current incarnation of its id, unless its
+// sequence starts anew.
+func (t *Tracker) isCurrent(report Report) bool {
+	if report.ID != t.state.ID {
+		return false
+	}
+	if t.state.Born == 0 && report.Born != 0 {
+		return report.Sequence > t.sequence
+	}
+	return report.Born == 0 || report.Born == t.state.Born
+}
+
 // begin switches to a new incarnation. It returns false for a late heartbeat of an earlier
 // incarnation.
-func (t *Tracker) begin(report Report) bool {
-	if seen, exists := t.previous[report.ID]; exists && report.Sequence <= seen {
+func (t *Tracker) begin(now time.Time, report Report) bool {
+	if t.isEarlier(now, report) {
 		return false
 	}
 	t.retire()
-	t.state = State{ID: report.ID}
+	t.state = State{ID: report.ID, Born: report.Born}
 	t.sequence = 0
 	delete(t.previous, report.ID)
 	return true
 }
 
+// isEarlier reports whether a heartbeat is a late one of an incarnation before the current one.
+func (t *Tracker) isEarlier(now time.Time, report Report) bool {
+	if report.ID == t.state.ID {
+		return report.Born < t.state.Born && now.Sub(t.heardAt) < silentAfter
+	}
+	seen, exists := t.previous[report.ID]
+	switch {
+	case !exists:
+		return false
+	case report.Born == seen.born:
+		return report.Sequence <= seen.sequence
+	default:
+		return report.Born < seen.born
+	}
+}
+
 // retire records the current incarnation as an earlier one.
 func (t *Tracker) retire() {
 	if t.state.ID == "" {
@@ -152,13 +212,13 @@
 	if len(t.previous) >= maximumPrevious {
 		clear(t.previous)
 	}
-	t.previous[t.state.ID] = t.sequence
+	t.previous[t.state.ID] = earlier{born: t.state.Born, sequence: t.sequence}
 }
 
 // Leave processes the announcement of an incarnation that it is about to stop. It may keep
-// serving requests for a while.
-func (t *Tracker) Leave(now time.Time, id string) {
-	if id == t.state.ID {
+// serving requests for a while. born is 0 if the announcement doesn't tell it.
+func (t *Tracker) Leave(now time.Time, id string, born int64) {
+	if id == t.state.ID && (born == 0 || born == t.state.Born) {
 		t.leave(now)
 	}
 }
@@ -193,11 +253,11 @@
 	t.state.ClosesAt = now.Add(t.config.CloseAfter)
 }
 
-// ObserveReplacement processes the id of another incarnation, actual, which refused a request sent
+// ObserveReplacement processes the id of another back end, actual, which refused a request sent
 // to the incarnation expected. The state of the new incarnation is unknown until its next
 // heartbeat.
 func (t *Tracker) ObserveReplacement(expected, actual string) {
-	if expected != t.state.ID || actual == t.state.ID || actual == "" {
+	if expected != t.state.Incarnation() || actual == t.state.ID || actual == "" {
 		return
 	}
 	t.retire()
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -15,6 +15,7 @@
 type step struct {
 	at       time.Duration
 	id       string
+	born     int64
 	sequence uint64
 	draining bool
 	// Call Leave instead of Observe.
@@ -28,11 +29,11 @@
 		now := start.Add(s.at)
 		switch {
 		case s.leave:
-			tracker.Leave(now, s.id)
+			tracker.Leave(now, s.id, s.born)
 		case s.replacement != "":
 			tracker.ObserveReplacement(s.id, s.replacement)
 		default:
-			_ = tracker.Observe(now, Report{ID: s.id, Service: "s", Slots: 4, Sequence: s.sequence, Draining: s.draining})
+			_ = tracker.Observe(now, Report{ID: s.id, Born: s.born, Service: "s", Slots: 4, Sequence: s.sequence, Draining: s.draining})
 		}
 	}
 }
@@ -62,6 +63,25 @@
 		{"request refused by another incarnation", []step{{id: "a", sequence: 9}, {id: "a", replacement: "b"}}, second, "", false},
 		{"request refused by another incarnation, then its heartbeat", []step{{id: "a", sequence: 9}, {id: "a", replacement: "b"}, {id: "b", sequence: 1}}, second, "b", true},
 		{"late refusal of a request to an earlier incarnation", []step{{id: "a", sequence: 9}, {id: "b", sequence: 1}, {id: "a", replacement: "c"}}, second, "b", true},
+
+		{"starts again under its id", []step{{id: "a", born: 10, sequence: 9, draining: true}, {id: "a", born: 20, sequence: 1}}, second, "a", true},
+		{"late heartbeat of the earlier incarnation of the same id",
+			[]step{{id: "a", born: 20, sequence: 1}, {id: "a", born: 10, sequence: 9, draining: true}}, second, "a", true},
+		{"late announced stop of the earlier incarnation of the same id",
+			[]step{{id: "a", born: 20, sequence: 1}, {id: "a", born: 10, leave: true}}, second, "a", true},
+		{"announced stop of the incarnation", []step{{id: "a", born: 20, sequence: 1}, {id: "a", born: 20, leave: true}}, second, "a", false},
+		{"announced stop without a time of start", []step{{id: "a", born: 20, sequence: 1}, {id: "a", leave: true}}, second, "a", false},
+		{"a draining one that tells no time of start stays so", []step{{id: "a", born: 10, sequence: 9, draining: true}, {id: "a", sequence: 10}}, second, "a", false},
+		{"the time of start is told later", []step{{id: "a", sequence: 9, draining: true}, {id: "a", born: 10, sequence: 10}}, second, "a", false},
+		{"starts again, and tells the time of start only then", []step{{id: "a", sequence: 9, draining: true}, {id: "a", born: 10, sequence: 1}}, second, "a", true},
+		{"starts again with a clock that was set back, while the earlier one was heard lately",
+			[]step{{id: "a", born: 20, sequence: 9, draining: true}, {at: second, id: "a", born: 10, sequence: 1}}, 2 * second, "a", false},
+		{"starts again with a clock that was set back, after a silence",
+			[]step{{id: "a", born: 20, sequence: 9, draining: true}, {at: silentAfter, id: "a", born: 10, sequence: 1}}, silentAfter + second, "a", true},
+		{"a back end that came before starts again under its id",
+			[]step{{id: "a", born: 10, sequence: 9}, {id: "b", born: 20, sequence: 1}, {id: "a", born: 30, sequence: 1}}, second, "a", true},
+		{"late heartbeat of a back end that came before",
+			[]step{{id: "a", born: 10, sequence: 9}, {id: "b", born: 20, sequence: 1}, {id: "a", born: 5, sequence: 99}}, second, "b", true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -57,12 +57,13 @@
 	// Observe handles a heartbeat. When it returns nil, the reported state is in force
 	// in this process and is being announced.
 	Observe(ctx context.Context, report instance.Report) error
-	// Leave handles the announcement of an incarnation that it leaves.
-	Leave(ctx context.Context, id string) error
+	// Leave handles the announcement of an incarnation that it leaves. born is when it started,
+	// in Unix milliseconds, 0 if unknown.
+	Leave(ctx context.Context, id string, born int64) error
 	// ObserveLeaving reports that an incarnation declared in an answer that it is leaving.
 	ObserveLeaving(incarnation string)
-	// ObserveReplacement reports that the incarnation actual refused a request sent to the
-	// incarnation expected.
+	// ObserveReplacement reports that the back end with the id actual refused a request sent to
+	// the incarnation expected.
 	ObserveReplacement(expected, actual string)
 	// RecordUnreachable reports that no connection to the back end could be opened.
 	RecordUnreachable()
--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -92,7 +92,7 @@
 	if header := f.process.Dialect.ExpectInstance; header != "" {
 		call.Header.Set(header, state.ID)
 	}
-	call.Incarnation = state.ID
+	call.Incarnation = state.Incarnation()
 	return state.Incarnation(), nil
 }
 
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -50,9 +50,9 @@
 	return refused
 }
 
-func (p *plugin) Leave(ctx context.Context, id string) error {
+func (p *plugin) Leave(ctx context.Context, id string, born int64) error {
 	return p.process.Loop.Do(ctx, func(now time.Time) {
-		p.tracker.Leave(now, id)
+		p.tracker.Leave(now, id, born)
 		p.publish()
 	})
 }
@@ -86,7 +86,7 @@
 	if p.unreachable.Swap(true) {
 		return
 	}
-	p.process.Log.Emit(event.BackendDown, "backend", p.process.Settings.Backend, "instance", p.State().ID)
+	p.process.Log.Emit(event.BackendDown, "backend", p.process.Settings.Backend, "instance", p.State().Incarnation())
 	p.process.Loop.Post(func(time.Time) { p.announce() })
 }
 
@@ -112,11 +112,11 @@
 		return current
 	})
 	p.process.RateLimit.Begin(after.Incarnation())
-	if before.ID != after.ID {
-		p.process.Log.Emit(event.InstanceChanged, "instance", after.ID, "before", before.ID, "slots", after.Slots)
+	if before.Incarnation() != after.Incarnation() {
+		p.process.Log.Emit(event.InstanceChanged, "instance", after.Incarnation(), "before", before.Incarnation(), "slots", after.Slots)
 	}
 	if after.Leaving && !before.Leaving {
-		p.process.Log.Emit(event.BackendDraining, "backend", p.process.Settings.Backend, "instance", after.ID)
+		p.process.Log.Emit(event.BackendDraining, "backend", p.process.Settings.Backend, "instance", after.Incarnation())
 	}
 	p.announce()
 }
--- a/plugin/quarantine/crashcheck.go
+++ b/plugin/quarantine/crashcheck.go
@@ -159,7 +159,7 @@
 		return false
 	}
 	state := p.process.BackEnd.State()
-	return state.ID == incarnation && state.Leaving
+	return state.Incarnation() == incarnation && state.Leaving
 }
 
 // isReplaced reports whether the back end now sends heartbeats as another incarnation.
@@ -167,7 +167,7 @@
 	if p.process.BackEnd == nil {
 		return false
 	}
-	present := p.process.BackEnd.State().ID
+	present := p.process.BackEnd.State().Incarnation()
 	return present != "" && present != incarnation
 }
 
