--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -18,6 +18,7 @@
 	OnlySentRequests     Invariant = "back ends run nothing that no caller sent"
 	NoRequestsAfterDrain Invariant = "a back end that is leaving gets no new requests"
 	CrashesBounded       Invariant = "a request that crashes back ends is stopped after the third"
+	RateLimitKept        Invariant = "a back end gets no more requests than the rate limit that it declares"
 	NoUnexpectedExit     Invariant = "processes end only when they are told to"
 	Recovery             Invariant = "requests are served again after the faults"
 	PlannedStop          Invariant = "a planned stop cuts off no request"
@@ -59,10 +60,11 @@
 
 	mutex      sync.Mutex
 	requests   map[string]*request
-	draining   map[string]time.Time // Draining incarnations, with the time of the acknowledgement.
-	crashers   map[string]*crasher  // By name, see Kind.Crasher.
-	served     map[string]int       // By kind.
-	sent       map[string]int       // By kind.
+	draining   map[string]time.Time  // Draining incarnations, with the time of the acknowledgement.
+	limits     map[string]*rateLimit // By incarnation.
+	crashers   map[string]*crasher   // By name, see Kind.Crasher.
+	served     map[string]int        // By kind.
+	sent       map[string]int        // By kind.
 	violations []Violation
 }
 
@@ -95,6 +97,7 @@
 		started:  now,
 		requests: map[string]*request{},
 		draining: map[string]time.Time{},
+		limits:   map[string]*rateLimit{},
 		crashers: map[string]*crasher{},
 		served:   map[string]int{},
 		sent:     map[string]int{},
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -65,6 +65,27 @@
 			c.DrainAcknowledged(at(0), "i")
 			c.RequestStarted(at(drainTime+1), "a", "i", true)
 		}, []Invariant{NoRequestsAfterDrain}},
+		{"rate limit, kept", func(c *Checker) {
+			sendAtRate(c, 5, 7, 10*time.Second)
+		}, nil},
+		{"rate limit, broken", func(c *Checker) {
+			sendAtRate(c, 5, 10, 6*time.Second)
+		}, []Invariant{RateLimitKept}},
+		{"rate limit, too many before it holds", func(c *Checker) {
+			sendAtRate(c, 5, 100, limitDelay-time.Millisecond)
+		}, nil},
+		{"rate limit, ended", func(c *Checker) {
+			c.RateLimitDeclared(at(0), "i", 5)
+			c.RateLimitDeclared(at(time.Second), "i", 0)
+			for i := range 1000 {
+				c.Arrived(at(4*time.Second+time.Duration(i)*time.Millisecond), "i")
+			}
+		}, nil},
+		{"rate limit, fell a moment ago", func(c *Checker) {
+			sendAtRate(c, 20, 20, 8*time.Second)
+			c.RateLimitDeclared(at(8*time.Second), "i", 1)
+			c.Arrived(at(9*time.Second), "i")
+		}, nil},
 		{"crashes, stopped in time", func(c *Checker) {
 			c.RequestSent("a", crashes)
 			for _, incarnation := range []string{"i", "j", "k", "l", "m", "n", "o"} {
@@ -97,3 +118,11 @@
 		})
 	}
 }
+
+// sendAtRate lets requests arrive at an incarnation that declares a limit in each answer.
+func sendAtRate(c *Checker, limit, rate float64, duration time.Duration) {
+	for after := time.Duration(0); after < duration; after += time.Duration(float64(time.Second) / rate) {
+		c.Arrived(start.Add(after), "i")
+		c.RateLimitDeclared(start.Add(after), "i", limit)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -46,6 +46,9 @@
 	{"edit", false, func(f *fleet, _ *node, _ time.Duration) { f.edit() }},
 	{"crash-backend", true, crashBackend},
 	{"drain-backend", false, drainBackend},
+	{"leave-by-answers", false, leaveByAnswers},
+	{"restart-under-id", true, restartUnderID},
+	{"rate-limit", false, limitBackend},
 }
 
 func killNode(f *fleet, n *node, duration time.Duration) {
@@ -107,6 +110,36 @@
 	f.restartBackend(n)
 }
 
+func leaveByAnswers(f *fleet, n *node, _ time.Duration) {
+	n.backend.LeaveByAnswers(2 * drainTime)
+	f.restartBackend(n)
+}
+
+// restartUnderID crashes the back end, which then starts again under the id that it had.
+func restartUnderID(_ *fleet, n *node, _ time.Duration) {
+	n.backend.KeepID()
+	n.backend.Crash(n.backend.Incarnation())
+}
+
+// limitTime is how long a back end declares a rate limit.
+const limitTime = limitDelay + limitWindow + time.Second
+
+// limitBackend makes a back end declare a rate limit that falls or rises meanwhile. It returns at
+// once, so that other faults strike the node while the limit is in force.
+func limitBackend(_ *fleet, n *node, duration time.Duration) {
+	limit := 1 + 4*duration.Seconds()
+	incarnation := n.backend.Incarnation()
+	set := func(limit float64) {
+		if n.backend.Incarnation() == incarnation {
+			n.backend.SetRateLimit(limit)
+		}
+	}
+	set(limit)
+	time.AfterFunc(limitTime/2, func() { set(limit / 2) })
+	time.AfterFunc(limitTime, func() { set(2 * limit) })
+	time.AfterFunc(limitTime+limitWindow, func() { set(0) })
+}
+
 // runFaults injects randomly drawn faults for faultPhaseTime and waits until the last one is over.
 // Faults may overlap, but each node has at most one at a time.
 func (f *fleet) runFaults(ctx context.Context, random *rand.Rand) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -138,6 +138,12 @@
 	f.checker.DrainAcknowledged(time.Now(), incarnation)
 }
 
+func (f *fleet) Arrived(incarnation string) { f.checker.Arrived(time.Now(), incarnation) }
+
+func (f *fleet) RateLimitDeclared(incarnation string, limit float64) {
+	f.checker.RateLimitDeclared(time.Now(), incarnation, limit)
+}
+
 // restartNode starts the process of a node again, unless the fleet is being closed.
 func (f *fleet) restartNode(n *node) {
 	if f.isClosing() {
--- a/internal/standin/platformbackend/backend.go
+++ b/internal/standin/platformbackend/backend.go
@@ -1,7 +1,8 @@
 // Package platformbackend is a stub of a back end of the users' platform, written from the
 // published protocol, for the soak. Each start is a new incarnation, which sends heartbeats
-// to the node beside it and refuses requests addressed to another incarnation. It can drain,
-// crash and be started again.
+// to the node beside it and refuses requests addressed to another back end. It can drain,
+// crash, be started again, also under the id that it had, and declare in its answers a rate
+// limit or that it is leaving.
 //
 // It owns its listener and its heartbeats. It relies on package serving, and on package
 // platform for header names.
@@ -52,8 +53,13 @@
 	// Crashed reports that an incarnation has crashed.
 	Crashed(incarnation string)
 	// DrainAcknowledged reports that the node has acknowledged that an incarnation is
-	// draining.
+	// draining, or that the first answer which declares it is leaving has been sent.
 	DrainAcknowledged(incarnation string)
+	// Arrived reports that a request has reached an incarnation, which may refuse it.
+	Arrived(incarnation string)
+	// RateLimitDeclared reports that an incarnation has sent an answer with a rate limit, in
+	// requests per second, 0 for an answer without one.
+	RateLimitDeclared(incarnation string, limit float64)
 }
 
 // Backend is the stub.
@@ -64,13 +70,28 @@
 
 	mutex       sync.Mutex
 	starts      int
-	incarnation string
+	ids         int // Ids used so far.
+	id          string
+	keepsID     bool         // The next start keeps the id.
+	incarnation string       // Unique for each start.
+	born        int64        // Start of the incarnation, in Unix milliseconds.
 	server      *http.Server // nil while the stub is down.
 	draining    bool
+	leaving     leavingState
+	rateLimit   float64 // Requests per second, 0 for no limit.
 	sequence    int
 	stopped     bool
 }
 
+// leavingState tells whether answers declare that the incarnation is leaving.
+type leavingState int
+
+const (
+	staying           leavingState = iota
+	leavingUndeclared              // The next answer is the first one to declare it.
+	leavingDeclared
+)
+
 // New returns a stub that has not been started.
 func New(config Config) *Backend {
 	return &Backend{
@@ -88,19 +109,39 @@
 	if b.stopped || b.server != nil {
 		return nil
 	}
-	incarnation := fmt.Sprintf("i-%s-%d", strings.ReplaceAll(b.config.Address, ":", "-"), b.starts+1)
+	if !b.keepsID {
+		b.ids++
+	}
+	id := fmt.Sprintf("i-%s-%d", strings.ReplaceAll(b.config.Address, ":", "-"), b.ids)
+	incarnation := fmt.Sprintf("%s, start %d", id, b.starts+1)
 	server, err := serving.Listen(b.config.Address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(w, r, incarnation) }))
 	if err != nil {
 		return err
 	}
 	b.starts++
-	b.incarnation, b.server = incarnation, server
-	b.draining, b.sequence = false, 0
+	b.id, b.incarnation, b.server = id, incarnation, server
+	b.born = max(time.Now().UnixMilli(), b.born+1)
+	b.keepsID, b.draining, b.leaving, b.rateLimit, b.sequence = false, false, staying, 0, 0
 	go b.sendHeartbeats(incarnation)
 	return nil
 }
 
-// Incarnation returns the id of the current or last incarnation.
+// KeepID makes the next start keep the id.
+func (b *Backend) KeepID() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.keepsID = true
+}
+
+// SetRateLimit sets the rate limit that the current incarnation declares, in requests per second, 0
+// for none.
+func (b *Backend) SetRateLimit(limit float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.rateLimit = limit
+}
+
+// Incarnation returns the name of the current or last incarnation.
 func (b *Backend) Incarnation() string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -138,8 +179,24 @@
 	if b.sendHeartbeat(incarnation) {
 		b.config.Observer.DrainAcknowledged(incarnation)
 	}
+	b.end(server, grace)
+}
+
+// LeaveByAnswers is Drain for an incarnation that declares in its answers only that it is leaving.
+func (b *Backend) LeaveByAnswers(grace time.Duration) {
+	b.mutex.Lock()
+	server := b.server
+	b.leaving = leavingUndeclared
+	b.mutex.Unlock()
+	if server != nil {
+		b.end(server, grace)
+	}
+}
+
+// end ends an incarnation after a grace period.
+func (b *Backend) end(server *http.Server, grace time.Duration) {
 	time.Sleep(grace)
-	b.deregister(incarnation)
+	b.deregister()
 	b.mutex.Lock()
 	if b.server == server {
 		b.server = nil
@@ -179,6 +236,7 @@
 
 // heartbeat is the body of a heartbeat.
 type heartbeat struct {
+	Born    int64           `json:"born"`
 	Address string          `json:"address"`
 	Info    heartbeatInfo   `json:"info"`
 	Status  heartbeatStatus `json:"status"`
@@ -200,29 +258,40 @@
 // sendHeartbeat sends a heartbeat and reports whether the node acknowledged it.
 func (b *Backend) sendHeartbeat(incarnation string) bool {
 	b.mutex.Lock()
+	if b.incarnation != incarnation {
+		b.mutex.Unlock()
+		return false
+	}
 	b.sequence++
 	state := "ready"
 	if b.draining {
 		state = "draining"
 	}
+	id := b.id
 	body, err := json.Marshal(heartbeat{
+		Born:    b.born,
 		Address: b.config.Address,
 		Info:    heartbeatInfo{Service: b.config.Service, Version: "v1", Zone: "z", Slots: b.config.Slots},
 		Status:  heartbeatStatus{State: state, Sequence: b.sequence, Cold: "0ms"},
 	})
 	b.mutex.Unlock()
-	return err == nil && b.callNode(http.MethodPut, incarnation, string(body))
+	return err == nil && b.callNode(http.MethodPut, id, string(body))
 }
 
-func (b *Backend) deregister(incarnation string) { b.callNode(http.MethodDelete, incarnation, "") }
+func (b *Backend) deregister() {
+	b.mutex.Lock()
+	id, born := b.id, b.born
+	b.mutex.Unlock()
+	b.callNode(http.MethodDelete, id, fmt.Sprintf(`{"born":%d}`, born))
+}
 
 // heartbeatTimeout is the time limit for the acknowledgement of a heartbeat.
 const heartbeatTimeout = time.Second
 
-func (b *Backend) callNode(method, incarnation, body string) bool {
+func (b *Backend) callNode(method, id, body string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.config.HeartbeatAddress+pathHeartbeat+incarnation, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.config.HeartbeatAddress+pathHeartbeat+id, strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -239,11 +308,13 @@
 	dialect := platform.Dialect()
 	requestID := r.Header.Get(dialect.RequestID)
 	w.Header().Set(dialect.RequestID, requestID)
-	if expected := r.Header.Get(dialect.ExpectInstance); expected != "" && expected != incarnation {
-		w.Header().Set(dialect.Instance, incarnation)
+	id := b.currentID()
+	if expected := r.Header.Get(dialect.ExpectInstance); expected != "" && expected != id {
+		w.Header().Set(dialect.Instance, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b.config.Observer.Arrived(incarnation)
 	release, ok := b.slots.Take(r.Context())
 	if !ok {
 		w.Header().Set(dialect.NotRun, "1")
@@ -259,6 +330,7 @@
 		<-r.Context().Done()
 		return
 	}
+	b.declare(w.Header(), incarnation)
 	if path := r.Header.Get(HeaderCall); path != "" && !b.call(r, path) {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -267,6 +339,38 @@
 	_, _ = fmt.Fprintf(w, "%s %s", b.config.Service, requestID)
 }
 
+func (b *Backend) currentID() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.id
+}
+
+// Headers of the protocol by which an answer declares a rate limit or that the back end is leaving.
+const (
+	headerRateLimit = "Server-Limit"
+	headerLeaving   = "Server-Leaving"
+)
+
+// declare sets the headers of an answer that declare a rate limit and leaving.
+func (b *Backend) declare(header http.Header, incarnation string) {
+	b.mutex.Lock()
+	limit, leaving := b.rateLimit, b.leaving
+	if leaving == leavingUndeclared {
+		b.leaving = leavingDeclared
+	}
+	b.mutex.Unlock()
+	if limit > 0 {
+		header.Set(headerRateLimit, strconv.FormatFloat(limit, 'f', 1, 64))
+	}
+	if leaving != staying {
+		header.Set(headerLeaving, "1")
+	}
+	b.config.Observer.RateLimitDeclared(incarnation, limit)
+	if leaving == leavingUndeclared {
+		b.config.Observer.DrainAcknowledged(incarnation)
+	}
+}
+
 // SealOf returns the value of HeaderSeal for a request, which lets a caller recognize the
 // response to its own request.
 func SealOf(requestID string) string { return "sealed " + requestID }
