Tests for each safeguard of declared rate limits

Cause: taken away one at a time, seven safeguards of the fix were not found out by any test: the timer that starts waiting calls, what callers tell a restarted node, the order of reports, refusals that show nothing, waits that are no pressure, and both parts of the Retry-After. Two more had no effect and go: the level follows the free slots alone, and tokens beyond the burst are dropped when they are refilled.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -188,7 +188,8 @@
 func (c *Controller) enqueue(now time.Time, ticket *Ticket) {
 	ticket.awaitsRate = c.slotFree()
 	if c.queueTimes.queueTime <= 0 {
-		c.refuse(ticket, c.noRoom())
+		c.level.refused++
+		ticket.notify(c.noRoom())
 		return
 	}
 	c.sequence++
@@ -222,15 +223,7 @@
 
 func (c *Controller) drop(ticket *Ticket, verdict Verdict) {
 	heap.Remove(&c.queue, ticket.position)
-	c.refuse(ticket, verdict)
-}
-
-// refuse refuses a request. A refusal by the rate limit doesn't count for the level, which
-// follows the slots.
-func (c *Controller) refuse(ticket *Ticket, verdict Verdict) {
-	if verdict != RateLimited {
-		c.level.refused++
-	}
+	c.level.refused++
 	ticket.notify(verdict)
 }
 
--- a/e2e/declaration_test.go
+++ b/e2e/declaration_test.go
@@ -27,6 +27,8 @@
 	limitNotice = 500 * time.Millisecond
 	// drainTime is the default of backend_drain.
 	drainTime = 2 * time.Second
+	// slowWork is the working time of a back end whose first answer takes long to come.
+	slowWork = time.Second
 )
 
 // declaringBackEnd is a back end that declares a rate limit, or that it is leaving, in its
@@ -38,6 +40,8 @@
 	// Value of the header with the rate limit, "" for none.
 	limit   atomic.Pointer[string]
 	leaving atomic.Bool
+	// Working time of each request, in nanoseconds.
+	work atomic.Int64
 
 	mutex sync.Mutex
 	// First answer with a declaration, zero before it.
@@ -57,6 +61,7 @@
 		b.recordDeclaration()
 	}
 	b.mutex.Unlock()
+	time.Sleep(time.Duration(b.work.Load()))
 	b.node.serveBackEnd(w, r)
 }
 
@@ -102,6 +107,7 @@
 	backEnds := []*declaringBackEnd{}
 	for range count {
 		b := &declaringBackEnd{node: newPlatformNode(t, "front"), storeURL: store.URL}
+		b.node.slots = 64
 		b.declare("")
 		server := httptest.NewServer(http.HandlerFunc(b.serve))
 		t.Cleanup(server.Close)
@@ -220,6 +226,7 @@
 	is := is.New(t)
 	backEnds := startDeclaringBackEnds(t, 2)
 	for _, b := range backEnds {
+		b.work.Store(int64(slowWork))
 		b.declare(declaredLimit) // no other back end has room
 	}
 	counted := &outcomes{}
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -30,6 +30,7 @@
 	settingsFile                             string
 	binary                                   string // name in the directory of built binaries, or a path
 	control                                  string
+	slots                                    int                    // that the back end reports
 	incarnation                              atomic.Pointer[string] // id of the current incarnation of the back end
 	sequence                                 atomic.Int64
 	runs                                     atomic.Int64
@@ -109,6 +110,7 @@
 		heartbeats: freePort(t),
 		control:    freePort(t),
 		binary:     "loomcleat",
+		slots:      4,
 	}
 	n.setIncarnation("i-" + service)
 	return n
@@ -144,8 +146,8 @@
 
 // sendHeartbeat sends a heartbeat of the back end and returns the HTTP status, 0 for no answer.
 func (n *platformNode) sendHeartbeat(state string) int {
-	body := fmt.Sprintf(`{"address":"127.0.0.1:1","info":{"service":%q,"version":"v1","zone":"z","slots":4},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
-		n.service, state, n.sequence.Add(1))
+	body := fmt.Sprintf(`{"address":"127.0.0.1:1","info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
+		n.service, n.slots, state, n.sequence.Add(1))
 	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+*n.incarnation.Load(), strings.NewReader(body))
 	return fetchStatus(request)
 }
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -102,7 +102,6 @@
 	}
 	l.refill(now)
 	l.limited, l.limit = true, limit
-	l.tokens = min(l.tokens, l.burst())
 }
 
 // Limit returns the limit in force, and false if there is none.
@@ -149,6 +148,8 @@
 // burst returns the number of requests that may be sent at once.
 func (l *Limiter) burst() float64 { return 1 + l.sendRate()*burstTime.Seconds() }
 
+// refill adds the tokens of the time since the last call, and drops those beyond the burst, also
+// after the limit has fallen.
 func (l *Limiter) refill(now time.Time) {
 	elapsed := max(now.Sub(l.refilledAt).Seconds(), 0)
 	l.tokens = min(l.tokens+elapsed*l.sendRate(), l.burst())
