--- a/admission/controller.go
+++ b/admission/controller.go
@@ -85,10 +85,6 @@
 	notify     func(Verdict)
 }
 
-// AwaitedRate reports whether the request had to wait for the rate limit alone, or was refused
-// by it. It may be called after the verdict.
-func (t *Ticket) AwaitedRate() bool { return t.awaitsRate }
-
 // Controller admits requests to one back end. It combines the limit, the queue, the
 // level, the reserved share, the maximum queue times and the back end's rate limit.
 type Controller struct {
@@ -212,15 +208,6 @@
 	return limit
 }
 
-// noRoom returns the verdict on a request that is refused because the queue has no room, or
-// because it has waited too long.
-func (c *Controller) noRoom() Verdict {
-	if _, limited := c.rateLimit.Limit(); limited && c.slotFree() {
-		return RateLimited
-	}
-	return QueueFull
-}
-
 func (c *Controller) drop(ticket *Ticket, verdict Verdict) {
 	heap.Remove(&c.queue, ticket.position)
 	c.level.refused++
@@ -297,25 +284,6 @@
 	c.level.adjust(now, c.freeShare())
 }
 
-// RateWait returns the time until the rate limit has room for the next queued request, 0 if no
-// request waits for it.
-func (c *Controller) RateWait(now time.Time) time.Duration {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.queue.Len() == 0 || !c.slotFree() {
-		return 0
-	}
-	return c.rateLimit.Wait(now, 0)
-}
-
-// RateRetryAfter returns the time after which the rate limit has room for a request that is
-// refused now, behind those that wait.
-func (c *Controller) RateRetryAfter(now time.Time) time.Duration {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.rateLimit.Wait(now, c.queue.Len())
-}
-
 // State is a snapshot of a Controller.
 type State struct {
 	// Limit on requests in flight.
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -142,9 +142,11 @@
 // Context returns a context that is cancelled when the process stops.
 func (p *Process) Context() context.Context { return p.context }
 
-// SetSeeds replaces the seed addresses.
+// SetSeeds replaces the seed addresses. It waits until they are in force, or until the process
+// stops.
 func (p *Process) SetSeeds(seeds []string) {
-	p.Loop.Post(func(time.Time) { p.Mesh.SetSeeds(seeds) })
+	// The only error is that the process has stopped, so that it needs no seeds.
+	_ = p.Loop.Do(p.context, func(time.Time) { p.Mesh.SetSeeds(seeds) })
 }
 
 // Ready reports whether the readiness conditions have been met. It stays true while the
--- a/plugin/membership/machines.go
+++ b/plugin/membership/machines.go
@@ -69,16 +69,19 @@
 // seeds, and notifies members whose machines are leaving.
 func (m *mesh) applyMachines(ctx context.Context, machines []store.Machine) {
 	m.process.MachineState.Store(&kernel.MachineState{At: clock.Now(), Machines: machines})
-	seeds := append([]string{}, m.process.Settings.Seeds...)
+	listed := []string{}
 	leaving := map[string]bool{}
 	for _, machine := range machines {
 		if machine.State == store.MachineLeaving {
 			leaving[machine.Control] = true
 		} else {
-			seeds = append(seeds, machine.Control)
+			listed = append(listed, machine.Control)
 		}
 	}
-	m.process.Loop.Post(func(time.Time) { m.stateMachine.SetSeeds(seeds) })
+	m.process.Loop.Post(func(time.Time) {
+		m.listed = listed
+		m.applySeeds()
+	})
 	for _, member := range *m.process.Members.Load() {
 		if leaving[member.Control] && !member.Leaving && member.Status != membership.Dead {
 			m.requestLeave(ctx, member.Control)
@@ -99,6 +102,9 @@
 func (m *mesh) serveLeave(w http.ResponseWriter, r *http.Request) {
 	// An error is dropped: the sender has disconnected or this process is stopping. The sender
 	// repeats the request until this process announces that it leaves.
-	_ = m.process.Loop.Do(r.Context(), func(time.Time) { m.stateMachine.SetState(true, false) })
+	_ = m.process.Loop.Do(r.Context(), func(time.Time) {
+		m.machineLeaving = true
+		m.SetState(m.leaving, m.down)
+	})
 	kernel.WriteJSON(w, wire.Empty{})
 }
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -9,6 +9,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -45,7 +46,7 @@
 		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		OnChange:      m.logChange,
 	}, clock.Now().Time())
-	m.stateMachine.SetSeeds(process.Settings.Seeds)
+	m.SetSeeds(process.Settings.Seeds)
 	process.Mesh = m
 	process.HandleControl("POST "+wire.PathGossip, m.serveGossip)
 	process.HandleControl("POST "+wire.PathLeave, m.serveLeave)
@@ -73,19 +74,27 @@
 }
 
 // mesh drives the membership state machine of one process. The control loop owns the state
-// machine and the map.
+// machine and all fields behind it but timeout.
 type mesh struct {
 	process      *kernel.Process
 	stateMachine *membership.Machine
+	// State of the back end that was set last.
+	leaving, down bool
+	// The machine list has shown this machine as leaving.
+	machineLeaving bool
+	// Seeds of the settings, and addresses of the machine list.
+	seeds, listed []string
 	// Bound of one message exchange.
 	timeout time.Duration
 	// Addresses that have been logged as unreachable.
 	unreachable map[string]bool
 }
 
-// SetState implements kernel.Mesh. A process that has announced that it leaves stays leaving.
+// SetState implements kernel.Mesh. A process that has announced that it leaves, or whose machine is
+// leaving by the machine list, stays leaving.
 func (m *mesh) SetState(leaving, down bool) {
-	m.stateMachine.SetState(leaving || m.process.LeaveAnnounced(), down)
+	m.leaving, m.down = leaving, down
+	m.stateMachine.SetState(leaving || m.machineLeaving || m.process.LeaveAnnounced(), down)
 }
 
 // SetRateLimit implements kernel.Mesh.
@@ -95,7 +104,15 @@
 func (m *mesh) SetVotes(votes []string) { m.stateMachine.SetVotes(votes) }
 
 // SetSeeds implements kernel.Mesh.
-func (m *mesh) SetSeeds(seeds []string) { m.stateMachine.SetSeeds(seeds) }
+func (m *mesh) SetSeeds(seeds []string) {
+	m.seeds = seeds
+	m.applySeeds()
+}
+
+// applySeeds tries the seeds of the settings and the addresses of the machine list.
+func (m *mesh) applySeeds() {
+	m.stateMachine.SetSeeds(slices.Concat(m.seeds, m.listed))
+}
 
 // Announce implements kernel.Mesh.
 func (m *mesh) Announce() { m.stateMachine.Announce() }
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -64,7 +64,7 @@
 	call := a.call
 	limit, bounded := retry.Timeout(retry.Attempt{
 		Repeatable:   call.Policy.Repeatable,
-		Retriable:    call.Body.Replayable() && call.Budget.Left() > 0 && a.balancer.Size() >= 2,
+		Retriable:    a.retriable(),
 		SharedBudget: a.router.process.Settings.RetryBudget.Window > 0,
 		Latency:      a.balancer.Latency(a.target.ID),
 		Left:         call.Deadline.Left(),
@@ -76,6 +76,13 @@
 	return func() { timer.Stop() }
 }
 
+// retriable reports whether another attempt could follow one that ends without an answer.
+func (a *attempt) retriable() bool {
+	call := a.call
+	mayRunTwice := call.Policy.Repeatable || a.router.process.Settings.Claims
+	return mayRunTwice && call.Body.Replayable() && call.Budget.Left() > 0 && a.balancer.Size() >= 2
+}
+
 // recordUnanswered records the end of an attempt that got no answer.
 func (a *attempt) recordUnanswered(err *result.Error) {
 	if err.NotRun() {
--- a/plugin/routing/routing_test.go
+++ b/plugin/routing/routing_test.go
@@ -66,6 +66,29 @@
 	is.True(ctx.Err() != nil) // the attempt lasted until the deadline of the call
 }
 
+// TestNoAttemptTimeoutWithoutAnotherAttempt guards against ending an attempt that the back end may
+// be working on although the request may not be sent again.
+func TestNoAttemptTimeoutWithoutAnotherAttempt(t *testing.T) {
+	for name, c := range map[string]struct{ repeatable, claims, want bool }{
+		"may run once":               {false, false, false},
+		"may run once, with a claim": {false, true, true},
+		"may run twice":              {true, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, balancer := newRouter("127.0.0.1:1", "127.0.0.1:2")
+			r.process.Settings.Claims = c.claims
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			call := newCall(ctx)
+			call.Budget = retrybudget.Open(8)
+			call.Policy.Repeatable = c.repeatable
+			a := &attempt{router: r, call: call, balancer: balancer}
+			is.Equal(a.retriable(), c.want)
+		})
+	}
+}
+
 // newRouter returns a router with nodes of service "s" at addresses, and the balancer of "s".
 func newRouter(addresses ...string) (*router, *balance.Balancer) {
 	balancer := balance.New(balance.Config{})
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -72,10 +72,10 @@
 // request, and the requests that are quarantined because of it. A report without an id, with a
 // negative age or with an age of Keep or more is ignored.
 func (l *Ledger) Report(now time.Time, reported CrashReport) (isNew bool, quarantined []Signature) {
-	age := time.Duration(reported.Age) * time.Millisecond
-	if reported.ID == "" || age < 0 || age >= l.config.Keep {
+	if reported.ID == "" || reported.Age < 0 || reported.Age >= l.config.Keep.Milliseconds() {
 		return false, nil
 	}
+	age := time.Duration(reported.Age) * time.Millisecond
 	known := l.findOrAdd(reported.ID, now.Add(-age))
 	added, quarantined := l.addInFlight(known, reported)
 	cleared := l.clearAll(known, reported.Cleared)
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -170,6 +171,17 @@
 	is.Equal(ledger.Digest(start), uint64(0))
 }
 
+// TestImpossibleAgesAreIgnored guards against an age that is so large that it overflows to a small
+// one.
+func TestImpossibleAgesAreIgnored(t *testing.T) {
+	is := is.New(t)
+	ledger := NewLedger(Config{})
+	for _, age := range []int64{-1, defaultKeep.Milliseconds(), 18446744073710, math.MaxInt64, math.MinInt64} {
+		isNew, _ := ledger.Report(start, CrashReport{ID: "i", Age: age, Suspects: []Signature{{1}}})
+		is.True(!isNew)
+	}
+}
+
 func TestLedgerIsBounded(t *testing.T) {
 	is := is.New(t)
 	ledger := NewLedger(Config{})
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -61,7 +61,9 @@
 	l.Observe(Declaration{SentAt: at(0), ReceivedAt: at(1), Limit: limitOf(0)})
 	is.Equal(sendAll(l, 1, 4101), 2)
 	l.Observe(Declaration{SentAt: at(4000), ReceivedAt: at(4001)})
-	is.True(l.Take(at(4001)) && l.Take(at(4001)))
+	for range 100 {
+		is.True(l.Take(at(4001)))
+	}
 }
 
 // TestOrderOfDeclarations guards against an answer from before a limit that ends or raises it.
--- a/settings/load.go
+++ b/settings/load.go
@@ -78,6 +78,7 @@
 		message += "; allowed: " + strings.Join(keysOf[Settings](), ", ") +
 			"; in routes: " + strings.Join(keysOf[Route](), ", ") +
 			"; in retry_budget: " + strings.Join(keysOf[RetryBudget](), ", ") +
+			"; in quota: " + strings.Join(keysOf[Quota](), ", ") +
 			"; in log: " + strings.Join(keysOf[Log](), ", ")
 	}
 	return result.New(result.SettingsInvalid, "%s:%d: %s", file, line, message)
