--- a/internal/standin/keyvalue/store.go
+++ b/internal/standin/keyvalue/store.go
@@ -5,7 +5,9 @@
 package keyvalue
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +33,9 @@
 	history   []Item
 	leases    map[int64]lease
 	lastLease int64 // Id of the last lease granted.
+
+	// Era counts how often the data was restored from an older copy, from 1.
+	Era uint64
 }
 
 // lease is a granted lease. Without a time to live it lasts until it is revoked. An expired
@@ -51,7 +56,7 @@
 // New returns an empty store at revision 1.
 func New() *Store {
 	return &Store{
-		data:    Data{Revision: 1, Items: map[string]Item{}, previous: map[string]Item{}, leases: map[int64]lease{}},
+		data:    Data{Revision: 1, Items: map[string]Item{}, previous: map[string]Item{}, leases: map[int64]lease{}, Era: 1},
 		changed: make(chan struct{}),
 	}
 }
@@ -190,3 +195,19 @@
 		}
 	}
 }
+
+// Copy returns a copy of the data, from which the store can be restored.
+func (d *Data) Copy() Data {
+	copied := *d
+	copied.Items, copied.previous, copied.leases = maps.Clone(d.Items), maps.Clone(d.previous), maps.Clone(d.leases)
+	copied.history = slices.Clone(d.history)
+	return copied
+}
+
+// Restore replaces the data by an older copy. What was written since is lost, and its revisions are
+// given out again.
+func (d *Data) Restore(older Data) {
+	era := d.Era
+	*d = older.Copy()
+	d.Era = era + 1
+}
--- a/internal/standin/metastore/server.go
+++ b/internal/standin/metastore/server.go
@@ -50,7 +50,32 @@
 	routes.HandleFunc("POST /-/kv-lease", s.serveLease)
 	routes.HandleFunc("POST /-/kv-keep/{id}", s.serveRenewal)
 	routes.HandleFunc("DELETE /-/kv-lease-end/{id}", s.serveRevocation)
-	return s.WithFaults(routes)
+	return s.WithFaults(s.withEra(routes))
+}
+
+// headerEra holds the number of times that the store was restored from an older copy, from 1.
+const headerEra = "Store-Era"
+
+// withEra sets headerEra on all answers.
+func (s *Server) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.Update(func(data *keyvalue.Data) { w.Header().Set(headerEra, strconv.FormatUint(data.Era, 10)) })
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Copy returns a copy of the data, for Restore.
+func (s *Server) Copy() (copied keyvalue.Data) {
+	s.Update(func(data *keyvalue.Data) { copied = data.Copy() })
+	return copied
+}
+
+// Restore replaces the data by an older copy and then runs change, before anybody can read.
+func (s *Server) Restore(older keyvalue.Data, change func(data *keyvalue.Data)) {
+	s.Update(func(data *keyvalue.Data) {
+		data.Restore(older)
+		change(data)
+	})
 }
 
 // item is a key in the protocol. Its fields match keyvalue.Item for conversion.
