A store that was restored from an older copy is noticed by its era

What callers would see: a change of the configuration that was never in force, since the restored store's revisions had passed the position of the watch; keys trusted although the copy lacks the change that takes them away; processes that nobody finds any more. Cause: revisions were compared across a restore, and a read of whatever copy counted as proof. Change: the era of each answer is read and kept with what was read; a watch in another era reads the key, and an index counts within its era only. A read proves the policy only if it shows at least the revision in force. The first to see a later era logs it (206) and tells its peers with its revisions; all register again, spread over 5 s, and nodes write their requests in quarantine again. An era that goes down or can't be read makes an answer one that the store didn't give. Safe: a store without an era is as before. Golden files of the messages gain one field at the end.

--- a/event/events.go
+++ b/event/events.go
@@ -33,6 +33,7 @@
 	StoreRecovered    Number = 203
 	DocumentOlderSeen Number = 204
 	StoreWatchChanged Number = 205
+	StoreRestored     Number = 206
 )
 
 // Events of membership.
@@ -120,6 +121,7 @@
 	{StoreRecovered, "store-recovered", "info", "The key-value store answers again."},
 	{DocumentOlderSeen, "document-older-seen", "warn", "The store or a peer showed an older revision, which was ignored."},
 	{StoreWatchChanged, "store-watch-changed", "info", "This process started or stopped watching the store on behalf of its peers."},
+	{StoreRestored, "store-restored", "warn", "The key-value store was restored from an older copy: it is read anew, and what this process keeps there is written again."},
 	{MemberJoined, "member-joined", "info", "A process joined the mesh."},
 	{MemberSuspected, "member-suspected", "warn", "A member did not answer probes."},
 	{MemberDead, "member-dead", "warn", "A member was declared dead."},
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -57,6 +57,7 @@
 	BackEnd BackEnd
 
 	hooks      hooks
+	storeEra   storeEra
 	executions *executionTable
 	splits     splitCounters
 	identities identities
--- a/plugin/configsync/documents.go
+++ b/plugin/configsync/documents.go
@@ -46,7 +46,7 @@
 
 // Revisions implements kernel.Documents.
 func (s *synchronizer) Revisions() wire.Revisions {
-	revisions := wire.Revisions{Confirmed: s.confirmed.Load()}
+	revisions := wire.Revisions{Confirmed: s.confirmed.Load(), StoreEra: s.process.StoreEra()}
 	if age, known := s.age(); known {
 		revisions.Age = max(age.Milliseconds(), 1)
 	}
@@ -70,7 +70,8 @@
 
 // Offer implements kernel.Documents.
 func (s *synchronizer) Offer(ctx context.Context, name wire.DocumentName, data []byte) error {
-	return s.offer(ctx, s.documents[name], data, "process")
+	_, err := s.offer(ctx, s.documents[name], data, "process")
+	return err
 }
 
 // adoptPolicy puts a policy document in force. It runs on the control loop.
@@ -84,16 +85,16 @@
 }
 
 // offer puts a document in force if it is newer than the current one, and announces it to
-// peers. from is the source of the document, for the log. It returns the error of a document
-// that fails its check, and a result.NotReady or result.Draining error if the control loop
-// does not run.
-func (s *synchronizer) offer(ctx context.Context, d *document, data []byte, from string) error {
+// peers. from is the source of the document, for the log. It returns the revision of the document,
+// the error of one that fails its check, and a result.NotReady or result.Draining error if the
+// control loop does not run.
+func (s *synchronizer) offer(ctx context.Context, d *document, data []byte, from string) (uint64, error) {
 	revision, err := d.revisionOf(data)
 	if err != nil {
 		s.process.Log.Emit(event.DocumentRejected, "document", string(d.name), "from", from, "error", err)
-		return err
+		return 0, err
 	}
-	return s.process.Loop.Do(ctx, func(now time.Time) {
+	return revision, s.process.Loop.Do(ctx, func(now time.Time) {
 		if revision < d.current.Revision() {
 			s.process.Log.Emit(event.DocumentOlderSeen, "document", string(d.name), "from", from,
 				"revision", revision, "in_force", d.current.Revision())
--- a/plugin/configsync/freshness.go
+++ b/plugin/configsync/freshness.go
@@ -7,17 +7,19 @@
 	"github.com/loomcleat/loomcleat/wire"
 )
 
-// recordRead records that the store returned a document as the newest one. at is the time for
-// the freshness estimate; proven is the time for the proof, earlier than at where the store
-// may lag. It ignores documents other than the policy.
-func (s *synchronizer) recordRead(d *document, at, proven time.Time) {
+// recordRead records that the store returned a document. at is the time for the freshness estimate;
+// proven is the time for the proof, earlier than at where the store may lag. The proof is recorded
+// only if the document is the newest one that is known. It ignores documents other than the policy.
+func (s *synchronizer) recordRead(d *document, at, proven time.Time, isNewest bool) {
 	if d.name != wire.DocumentPolicy {
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.freshness.RecordVerified(at)
-	s.proof.Record(proven)
+	if isNewest {
+		s.proof.Record(proven)
+	}
 }
 
 // recordConfirmation records a peer's estimate of the age of its policy if this process has
--- a/plugin/configsync/peers.go
+++ b/plugin/configsync/peers.go
@@ -21,6 +21,7 @@
 			go s.pull(peer, d)
 		}
 	}
+	s.process.ObserveStoreEra(revisions.StoreEra)
 	s.recordConfirmation(revisions)
 	s.recordPeerProof(revisions, requestedAt)
 	policyKnown := s.documents[wire.DocumentPolicy].revision.Load()
@@ -39,7 +40,7 @@
 	if err := s.process.Control.Invoke(ctx, peer, http.MethodGet, path, nil, &fetched); err != nil {
 		return // The next message from any peer with a newer revision causes another pull.
 	}
-	if s.offer(ctx, d, fetched.Data, peer) != nil {
+	if _, err := s.offer(ctx, d, fetched.Data, peer); err != nil {
 		return
 	}
 	if fetched.Confirmed && d.name == wire.DocumentPolicy {
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -41,8 +41,10 @@
 	document     *document
 	// Position in the store from which to wait for the next change; 0 reads at once.
 	position uint64
-	// Index of the entry that was offered last.
-	offeredIndex uint64
+	// Era and index of the entry that was offered last, and the revision of its document.
+	offeredEra      store.Era
+	offeredIndex    uint64
+	offeredRevision uint64
 	// Consecutive failures.
 	failures int
 	// Whether this process watches the document now.
@@ -132,10 +134,13 @@
 	if err != nil {
 		return err
 	}
+	s.process.ObserveStoreEra(entry.Era)
 	if err := w.offerEntry(ctx, entry); err != nil {
 		return err
 	}
-	s.recordRead(d, requestedAt, proven)
+	// A store that was restored from an older copy lacks changes. What it shows then proves nothing.
+	isNewest := w.offeredRevision >= d.revision.Load()
+	s.recordRead(d, requestedAt, proven, isNewest)
 	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
 		s.confirmed.Store(true)
 	}
@@ -150,13 +155,18 @@
 // offerEntry offers an entry unless it is the one that was offered last. Most waits end without a
 // change, and decoding a document is costly.
 func (w *watcher) offerEntry(ctx context.Context, entry store.Entry) error {
-	if !entry.Exists || entry.Index == w.offeredIndex {
+	if !entry.Exists {
+		w.offeredIndex, w.offeredRevision = 0, 0
 		return nil
 	}
-	if err := w.synchronizer.offer(ctx, w.document, entry.Value, "store"); err != nil {
+	if entry.Index == w.offeredIndex && entry.Era == w.offeredEra {
+		return nil
+	}
+	revision, err := w.synchronizer.offer(ctx, w.document, entry.Value, "store")
+	if err != nil {
 		return err
 	}
-	w.offeredIndex = entry.Index
+	w.offeredEra, w.offeredIndex, w.offeredRevision = entry.Era, entry.Index, revision
 	return nil
 }
 
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -30,7 +30,7 @@
 
 func setup(process *kernel.Process) error {
 	interval := process.Settings.ProbeInterval.Std()
-	m := &mesh{process: process, timeout: interval / 2, unreachable: map[string]bool{}}
+	m := &mesh{process: process, timeout: interval / 2, unreachable: map[string]bool{}, restored: make(chan struct{}, 1)}
 	m.stateMachine = membership.New(membership.Config{
 		Self: membership.Member{
 			ID:         process.ID,
@@ -55,7 +55,8 @@
 		process.OnStart(m.pollMachines)
 	}
 	if process.Registry != nil {
-		process.OnStart(m.register)
+		process.OnStoreRestored(func() { kernel.Wake(m.restored) })
+		process.OnStart(m.keepRegistered)
 		process.OnDrain(m.deregister)
 	}
 	process.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -88,6 +89,8 @@
 	timeout time.Duration
 	// Addresses that have been logged as unreachable.
 	unreachable map[string]bool
+	// Wakes keepRegistered when the store was restored from an older copy.
+	restored chan struct{}
 }
 
 // SetState implements kernel.Mesh. A process that has announced that it leaves, or whose machine is
--- a/plugin/quarantine/setup.go
+++ b/plugin/quarantine/setup.go
@@ -43,6 +43,7 @@
 	process.OnStart(p.detectCrashes)
 	if process.Store != nil {
 		process.OnStart(p.syncStore)
+		process.OnStoreRestored(p.saveAgain)
 	}
 	return nil
 }
--- a/plugin/quarantine/stored.go
+++ b/plugin/quarantine/stored.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
@@ -53,6 +54,20 @@
 // requestSave wakes syncStore to write the requests in quarantine to the store.
 func (p *plugin) requestSave() { kernel.Wake(p.saveDue) }
 
+// saveAgainSpread is the time over which nodes write their requests in quarantine again.
+const saveAgainSpread = 5 * time.Second
+
+// saveAgain requests a save after the store was restored from an older copy, which may lack requests
+// in quarantine.
+func (p *plugin) saveAgain() {
+	p.mutex.Lock()
+	quarantined := p.ledger.CrashesOfQuarantined(clock.Now().Time())
+	p.mutex.Unlock()
+	if len(quarantined) > 0 {
+		time.AfterFunc(rand.N(saveAgainSpread), p.requestSave)
+	}
+}
+
 // retryUntilDone repeats a step every storeRetryInterval until the step or ctx is done. Only
 // the first error is logged.
 func (p *plugin) retryUntilDone(ctx context.Context, step func(context.Context) (bool, error)) {
--- a/store/store.go
+++ b/store/store.go
@@ -12,6 +12,11 @@
 	"time"
 )
 
+// Era counts how often a store was restored from an older copy of its data. A restore loses what was
+// written since, and indexes and positions are given out again, so that they can be compared within an
+// era only. It is 0 for a store that does not tell it.
+type Era uint64
+
 // Entry is one key of the store.
 type Entry struct {
 	Value  []byte
@@ -19,6 +24,8 @@
 	Exists bool
 	// WatchPosition is the position to pass to Store.Watch in order to wait for the next change.
 	WatchPosition uint64
+	// Era of the store in which the entry was read.
+	Era Era
 }
 
 // Store is the platform's key-value service. Errors are of type *result.Error. The code is
@@ -74,6 +81,8 @@
 type Registry interface {
 	// Register adds a process. It replaces any entry with the same control address.
 	Register(ctx context.Context, machine Machine) error
+	// Era returns the highest era of the registry that was seen, 0 if it does not tell it.
+	Era() Era
 	// Deregister removes the entry with a control address.
 	Deregister(ctx context.Context, control string) error
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -4,6 +4,7 @@
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/quarantine"
 	"github.com/loomcleat/loomcleat/quota"
+	"github.com/loomcleat/loomcleat/store"
 )
 
 // Paths of the control listener.
@@ -42,6 +43,8 @@
 	// only in an answer, and the receiver must count from the time at which it sent its
 	// request.
 	ProvenAge int64 `json:"proven,omitempty"`
+	// StoreEra is the highest era of the store that the sender knows, 0 for none.
+	StoreEra store.Era `json:"era,omitempty"`
 }
 
 // Of returns the revision of the document with the given name.
