platform: messages and entries of other writers name nobody

What would be seen: a message in place of a heartbeat, with fields missing or a state that is not known, replaced the back end beside the node; an entry that can't be read hid all of its page. Cause: what was missing was read as zero, and pages were decoded as a whole. Safe: a complete heartbeat is taken as before, also with fields of a later version.

--- a/e2e/incarnation_test.go
+++ b/e2e/incarnation_test.go
@@ -13,8 +13,8 @@
 // heartbeatOf sends a heartbeat of one life of a back end, started at born in Unix milliseconds,
 // and returns the HTTP status.
 func (n *platformNode) heartbeatOf(born, sequence int64, state string) int {
-	body := fmt.Sprintf(`{"born":%d,"address":"127.0.0.1:1","info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
-		born, n.service, n.slots, state, sequence)
+	body := fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
+		born, n.backEndAddress, n.service, n.slots, state, sequence)
 	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+*n.incarnation.Load(), strings.NewReader(body))
 	return fetchStatus(request)
 }
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -30,6 +30,7 @@
 	settingsFile                             string
 	binary                                   string // name in the directory of built binaries, or a path
 	control                                  string
+	backEndAddress                           string
 	slots                                    int                    // that the back end reports
 	incarnation                              atomic.Pointer[string] // id of the current incarnation of the back end
 	sequence                                 atomic.Int64
@@ -121,6 +122,7 @@
 // startWithBackEnd writes the settings and starts the process for the back end at an address.
 func (n *platformNode) startWithBackEnd(t *testing.T, store, backend string, extraSettings ...string) {
 	t.Helper()
+	n.backEndAddress = backend
 	lines := []string{
 		"id: " + n.service, "service: " + n.service, "backend: " + backend,
 		"listen: " + freePort(t), "outbound: " + n.outbound, "entry: true",
@@ -146,8 +148,8 @@
 
 // sendHeartbeat sends a heartbeat of the back end and returns the HTTP status, 0 for no answer.
 func (n *platformNode) sendHeartbeat(state string) int {
-	body := fmt.Sprintf(`{"address":"127.0.0.1:1","info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
-		n.service, n.slots, state, n.sequence.Add(1))
+	body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
+		n.backEndAddress, n.service, n.slots, state, n.sequence.Add(1))
 	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+*n.incarnation.Load(), strings.NewReader(body))
 	return fetchStatus(request)
 }
--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -18,6 +18,8 @@
 	InvalidLoads atomic.Int64
 	// InvalidRateLimits counts answers of the back end with an invalid rate limit.
 	InvalidRateLimits atomic.Int64
+	// InvalidHeartbeats counts messages in place of a heartbeat that are not one.
+	InvalidHeartbeats atomic.Int64
 	// BackEndRequests counts the requests sent to the back end of this node.
 	BackEndRequests atomic.Int64
 	Suspended       atomic.Int64 // milliseconds
@@ -53,6 +55,7 @@
 		counterOf("loomcleat_requests_ahead_total", "Requests that were served before their turn on a caller's connection.", &c.Pipelined),
 		counterOf("loomcleat_loads_not_understood_total", "Answers of the back end with a load that makes no sense.", &c.InvalidLoads),
 		counterOf("loomcleat_rate_limits_not_understood_total", "Answers of the back end with a rate limit that makes no sense.", &c.InvalidRateLimits),
+		counterOf("loomcleat_heartbeats_not_understood_total", "Messages in place of a heartbeat that are not one.", &c.InvalidHeartbeats),
 		counterOf("loomcleat_backend_requests_total", "Requests sent to the back end beside this node.", &c.BackEndRequests),
 		counterOf("loomcleat_suspended_milliseconds_total", "Time in which the machine was suspended.", &c.Suspended),
 		counterOf("loomcleat_control_sent_bytes_total", "Bytes written on control connections.", &c.ControlSent),
--- a/plugin/instance/setup.go
+++ b/plugin/instance/setup.go
@@ -25,7 +25,11 @@
 	p := &plugin{
 		process:    process,
 		closeAfter: closeAfter,
-		tracker:    instance.NewTracker(instance.Config{Service: process.Settings.Service, CloseAfter: closeAfter}),
+		tracker: instance.NewTracker(instance.Config{
+			Service:    process.Settings.Service,
+			Address:    process.Settings.Backend,
+			CloseAfter: closeAfter,
+		}),
 	}
 	p.state.Store(&instance.State{})
 	process.BackEnd = p
