plugin/forward: a lost announcement of a rate limit is made again

Found on reading the change: when the queue of the control loop is full, the announcement was dropped and peers not told until the limit changed again; and an answer without the header undid what the health path had said of a back end without heartbeats.

--- a/plugin/forward/declaration.go
+++ b/plugin/forward/declaration.go
@@ -24,25 +24,37 @@
 	// Nil for no limit.
 	limit *ratelimit.Rate
 	at    time.Time
+	// The announcement was lost, and is made again.
+	lost bool
+}
+
+// lose marks the last announcement as lost.
+func (a *announcement) lose() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.lost = true
 }
 
 // replace stores the limit in force, nil for none, and reports whether it must be announced.
 func (a *announcement) replace(now time.Time, limit *ratelimit.Rate) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if limit == nil && a.limit == nil {
+	if !a.lost && !a.isDue(now, limit) {
 		return false
 	}
-	if limit != nil && a.limit != nil {
-		change := math.Abs(float64(*limit - *a.limit))
-		if change <= announcedChange*float64(*a.limit) || now.Sub(a.at) < announceInterval {
-			return false
-		}
-	}
-	a.limit, a.at = limit, now
+	a.limit, a.at, a.lost = limit, now, false
 	return true
 }
 
+// isDue reports whether a limit begins, ends or has changed enough to be announced.
+func (a *announcement) isDue(now time.Time, limit *ratelimit.Rate) bool {
+	if limit == nil || a.limit == nil {
+		return limit != a.limit
+	}
+	change := math.Abs(float64(*limit - *a.limit))
+	return change > announcedChange*float64(*a.limit) && now.Sub(a.at) >= announceInterval
+}
+
 // recordDeclarations records what the back end declares about itself in an answer. incarnation is
 // the one that was expected to answer.
 func (f *forwarder) recordDeclarations(response *http.Response, sentAt time.Time, incarnation string) {
@@ -77,7 +89,9 @@
 	if !f.announced.replace(now, limit) {
 		return
 	}
-	f.process.Loop.Post(func(time.Time) { f.process.Mesh.SetRateLimit(limit) })
+	if !f.process.Loop.Post(func(time.Time) { f.process.Mesh.SetRateLimit(limit) }) {
+		f.announced.lose()
+	}
 	sent := f.process.Counters.BackEndRequests.Load()
 	if limit == nil {
 		f.process.Log.Emit(event.RateLimitDeclared, "instance", incarnation, "limited", false, "sent", sent)
@@ -92,9 +106,11 @@
 	}
 	leaving := f.process.Dialect.IsLeaving(header)
 	switch {
-	case f.process.BackEnd == nil:
+	case f.process.BackEnd != nil:
+		if leaving {
+			f.process.BackEnd.ObserveLeaving(incarnation)
+		}
+	case leaving || f.process.Settings.BackendHealthPath == "":
 		f.setDraining(leaving)
-	case leaving:
-		f.process.BackEnd.ObserveLeaving(incarnation)
 	}
 }
