instance, admission: a stop announced with a start that heartbeats did not tell; waits for the rate

Found on reading the change: an announced stop that tells the time of start was ignored where the heartbeats had told none; and a request queued behind a limit of slots that had just risen counted as waiting for a rate limit that did not exist. Measured: a case of TestTracker for the first; tests of admission pass.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -182,7 +182,7 @@
 // enqueue adds a request to the queue. When the queue is too long, it refuses the
 // request that victim selects.
 func (c *Controller) enqueue(now time.Time, ticket *Ticket) {
-	ticket.awaitsRate = c.slotFree()
+	ticket.awaitsRate = c.limitedByRate()
 	if c.queueTimes.queueTime <= 0 {
 		c.level.refused++
 		ticket.notify(c.noRoom())
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -12,12 +12,18 @@
 // noRoom returns the verdict on a request that is refused because the queue has no room, or
 // because it has waited too long.
 func (c *Controller) noRoom() Verdict {
-	if _, limited := c.rateLimit.Limit(); limited && c.slotFree() {
+	if c.limitedByRate() {
 		return RateLimited
 	}
 	return QueueFull
 }
 
+// limitedByRate reports whether requests wait for the rate limit: there is one, and a slot is free.
+func (c *Controller) limitedByRate() bool {
+	_, limited := c.rateLimit.Limit()
+	return limited && c.slotFree()
+}
+
 // RateWait returns the time until the rate limit has room for the next queued request, 0 if no
 // request waits for it.
 func (c *Controller) RateWait(now time.Time) time.Duration {
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -70,6 +70,7 @@
 		{"late announced stop of the earlier incarnation of the same id",
 			[]step{{id: "a", born: 20, sequence: 1}, {id: "a", born: 10, leave: true}}, second, "a", true},
 		{"announced stop of the incarnation", []step{{id: "a", born: 20, sequence: 1}, {id: "a", born: 20, leave: true}}, second, "a", false},
+		{"announced stop with a time of start that heartbeats did not tell", []step{{id: "a", sequence: 1}, {id: "a", born: 20, leave: true}}, second, "a", false},
 		{"announced stop without a time of start", []step{{id: "a", born: 20, sequence: 1}, {id: "a", leave: true}}, second, "a", false},
 		{"a draining one that tells no time of start stays so", []step{{id: "a", born: 10, sequence: 9, draining: true}, {id: "a", sequence: 10}}, second, "a", false},
 		{"the time of start is told later", []step{{id: "a", sequence: 9, draining: true}, {id: "a", born: 10, sequence: 10}}, second, "a", false},
--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -143,7 +143,8 @@
 // Leave processes the announcement of an incarnation that it is about to stop. It may keep
 // serving requests for a while. born is 0 if the announcement doesn't tell it.
 func (t *Tracker) Leave(now time.Time, id string, born int64) {
-	if id == t.state.ID && (born == 0 || born == t.state.Born) {
+	otherStart := born != 0 && t.state.Born != 0 && born != t.state.Born
+	if id == t.state.ID && !otherStart {
 		t.leave(now)
 	}
 }
