--- a/internal/labcli/soak.go
+++ b/internal/labcli/soak.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,12 +22,17 @@
 	Seed    uint64        `help:"Seed of the first soak; the same seed draws the same faults." default:"1"`
 	Seeds   uint64        `help:"Number of soaks, one seed after the other." default:"1"`
 	Nodes   int           `help:"Number of processes, 6 to 48." default:"9"`
+	Faults  []string      `help:"Names of the faults that strike, separated by commas; list prints all. Default: all."`
 	JSON    bool          `help:"Print a report of each soak as JSON."`
 	Verbose bool          `help:"Tell each fault on standard error." short:"v"`
 }
 
 // Run runs a soak for each seed. It fails if a soak found a violated invariant.
 func (c *soakCommand) Run() error {
+	if slices.Equal(c.Faults, []string{"list"}) {
+		fmt.Println(strings.Join(soak.FaultNames(), "\n"))
+		return nil
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	broken := 0
@@ -34,7 +41,7 @@
 		if err != nil {
 			return err
 		}
-		report, err := soak.Run(ctx, soak.Config{Program: c.Program, Folder: folder, Nodes: c.Nodes, Seed: seed, Duration: c.For, Log: c.log})
+		report, err := soak.Run(ctx, soak.Config{Program: c.Program, Folder: folder, Nodes: c.Nodes, Seed: seed, Duration: c.For, Faults: c.Faults, Log: c.log})
 		if err != nil {
 			return err
 		}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -19,6 +19,7 @@
 	NoRequestsAfterDrain Invariant = "a back end that is leaving gets no new requests"
 	CrashesBounded       Invariant = "a request that crashes back ends is stopped after the third"
 	RateLimitKept        Invariant = "a back end gets no more requests than the rate limit that it declares"
+	OnlyOwnHeartbeats    Invariant = "a node acknowledges the heartbeats of its own back end only"
 	NoUnexpectedExit     Invariant = "processes end only when they are told to"
 	Recovery             Invariant = "requests are served again after the faults"
 	PlannedStop          Invariant = "a planned stop cuts off no request"
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,11 +4,16 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/loomcleat/loomcleat/internal/standin/keyvalue"
 	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+	"github.com/loomcleat/loomcleat/result"
 )
 
 // Lengths of the phases of a soak and of their faults. In a fault phase, faults occur alone
@@ -47,8 +52,36 @@
 	{"crash-backend", true, crashBackend},
 	{"drain-backend", false, drainBackend},
 	{"leave-by-answers", false, leaveByAnswers},
-	{"restart-under-id", true, restartUnderID},
+	{"backend-restarted", true, restartUnderID},
 	{"rate-limit", false, limitBackend},
+	{"store-restored", true, restoreStore},
+	{"foreign-entries", false, writeForeignEntries},
+}
+
+// FaultNames returns the names of all faults.
+func FaultNames() []string {
+	names := []string{}
+	for _, known := range faults {
+		names = append(names, known.name)
+	}
+	return names
+}
+
+// selectFaults returns the faults with the given names, all for none. It returns a
+// result.UsageInvalid error for an unknown name.
+func selectFaults(names []string) ([]fault, error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	selected := []fault{}
+	for _, name := range names {
+		i := slices.IndexFunc(faults, func(known fault) bool { return known.name == name })
+		if i < 0 {
+			return nil, result.New(result.UsageInvalid, "unknown fault %q; known: %s", name, strings.Join(FaultNames(), ", "))
+		}
+		selected = append(selected, faults[i])
+	}
+	return selected, nil
 }
 
 func killNode(f *fleet, n *node, duration time.Duration) {
@@ -140,6 +173,47 @@
 	time.AfterFunc(limitTime+limitWindow, func() { set(0) })
 }
 
+// awayTime is how long the store is away before it comes back from a copy, and rewriteDelay the time
+// until the operator has written the configuration again.
+const (
+	awayTime     = 300 * time.Millisecond
+	rewriteDelay = 500 * time.Millisecond
+)
+
+// restoreStore loses what was written to the store during a time. The configuration is changed
+// meanwhile, and written again after the restore.
+func restoreStore(f *fleet, _ *node, duration time.Duration) {
+	older := f.store.Copy()
+	f.edit()
+	time.Sleep(duration)
+	f.store.SetFaults(metastore.Faults{Down: true})
+	time.Sleep(awayTime)
+	f.store.Restore(older, func(*keyvalue.Data) {})
+	f.store.SetFaults(metastore.Faults{})
+	time.Sleep(rewriteDelay)
+	f.rewrite()
+}
+
+// foreignHeartbeats are messages of other writers in place of a heartbeat.
+var foreignHeartbeats = []string{
+	"", "{", "\xff\x00", "[]", `{"address":5}`,
+	`{"address":"127.0.0.1:1","info":{"service":"front"},"status":{"state":"ready","seq":99999}}`,
+	`{"address":"127.0.0.1:1","info":{"service":"front","version":"v1","zone":"z","slots":5},"status":{"state":"resting","seq":1,"cold_remaining":"0ms"}}`,
+}
+
+// writeForeignEntries sends messages of other writers to a node, and writes entries of other writers
+// beside those of the processes.
+func writeForeignEntries(f *fleet, n *node, _ time.Duration) {
+	for _, key := range []string{"loomcleat/members/", "loomcleat/members/nowhere", "loomcleat/members/10"} {
+		f.store.Put(key, []byte("\xff{"))
+	}
+	for _, body := range foreignHeartbeats {
+		if status := n.backend.SendForeign(body); status == http.StatusOK {
+			f.checker.Violate(time.Now(), OnlyOwnHeartbeats, "%s acknowledged the heartbeat %q", n.name, body)
+		}
+	}
+}
+
 // runFaults injects randomly drawn faults for faultPhaseTime and waits until the last one is over.
 // Faults may overlap, but each node has at most one at a time.
 func (f *fleet) runFaults(ctx context.Context, random *rand.Rand) {
@@ -147,7 +221,7 @@
 	defer cancel()
 	running := sync.WaitGroup{}
 	for phase.Err() == nil {
-		drawn := faults[random.IntN(len(faults))]
+		drawn := f.faults[random.IntN(len(f.faults))]
 		n := f.nodes[random.IntN(len(f.nodes))]
 		duration := faultTime/5 + time.Duration(random.Int64N(int64(faultTime)))
 		pause := time.Duration(random.Int64N(int64(faultPause)))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -43,6 +43,7 @@
 	store   *metastore.Server
 	server  *httptest.Server
 	nodes   []*node
+	faults  []fault // that are drawn
 
 	mutex        sync.Mutex
 	lastFault    time.Time // End of the last unplanned fault.
@@ -54,7 +55,11 @@
 // newFleet starts the store, the nodes and the back ends. It doesn't wait until they serve
 // requests.
 func newFleet(config Config, checker *Checker) (*fleet, error) {
-	f := &fleet{config: config, checker: checker, store: metastore.NewServer(), version: 1}
+	drawn, err := selectFaults(config.Faults)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{config: config, checker: checker, store: metastore.NewServer(), version: 1, faults: drawn}
 	f.server = httptest.NewServer(f.store.Handler())
 	f.store.PutConfiguration(configuration(f.version))
 	for i := range config.Nodes {
@@ -178,3 +183,10 @@
 	f.mutex.Unlock()
 	f.store.PutConfiguration(configuration(version))
 }
+
+// rewrite writes the newest version of the configuration to the store again.
+func (f *fleet) rewrite() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.store.PutConfiguration(configuration(f.version))
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,8 @@
 	Seed uint64
 	// Duration is the time during which faults are injected, 10s to 24h. Default 1m.
 	Duration time.Duration
+	// Faults are the names of the faults that are drawn (FaultNames). Default: all.
+	Faults []string
 	// Log receives progress messages. Default: they are discarded.
 	Log func(format string, arguments ...any)
 }
@@ -53,6 +55,9 @@
 	if c.Duration < minimumTime || c.Duration > maximumTime {
 		return result.New(result.UsageInvalid, "a soak must last %s to %s, got %s", minimumTime, maximumTime, c.Duration)
 	}
+	if _, err := selectFaults(c.Faults); err != nil {
+		return err
+	}
 	if _, err := os.Stat(c.Program); err != nil {
 		return result.Wrap(result.UsageInvalid, err, "the program under test")
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,6 +38,7 @@
 		{"no program", Config{}},
 		{"too few nodes", Config{Program: "soak_test.go", Nodes: minimumNodes - 1}},
 		{"too many nodes", Config{Program: "soak_test.go", Nodes: maximumNodes + 1}},
+		{"unknown fault", Config{Program: "soak_test.go", Faults: []string{"kill", "earthquake"}}},
 		{"too short", Config{Program: "soak_test.go", Duration: time.Second}},
 		{"too long", Config{Program: "soak_test.go", Duration: 48 * time.Hour}},
 	}
--- a/internal/standin/platformbackend/backend.go
+++ b/internal/standin/platformbackend/backend.go
@@ -285,22 +285,35 @@
 	b.callNode(http.MethodDelete, id, fmt.Sprintf(`{"born":%d}`, born))
 }
 
+// SendForeign sends a message of another writer to the node in place of a heartbeat and returns the HTTP
+// status, 0 for no response.
+func (b *Backend) SendForeign(body string) int {
+	return b.request(http.MethodPut, "i-foreign", body)
+}
+
 // heartbeatTimeout is the time limit for the acknowledgement of a heartbeat.
 const heartbeatTimeout = time.Second
 
+// callNode sends a message about a back end to the node and reports whether it was acknowledged.
 func (b *Backend) callNode(method, id, body string) bool {
+	status := b.request(method, id, body)
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// request sends a message about a back end to the node and returns the HTTP status, 0 for no response.
+func (b *Backend) request(method, id, body string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.config.HeartbeatAddress+pathHeartbeat+id, strings.NewReader(body))
 	if err != nil {
-		return false
+		return 0
 	}
 	response, err := b.client.Do(request)
 	if err != nil {
-		return false
+		return 0
 	}
 	defer response.Body.Close()
-	return response.StatusCode < http.StatusMultipleChoices
+	return response.StatusCode
 }
 
 // serve runs a request at an incarnation.
