--- a/internal/standin/platformbackend/backend.go
+++ b/internal/standin/platformbackend/backend.go
@@ -10,17 +10,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/loomcleat/loomcleat/internal/standin/serving"
-	"github.com/loomcleat/loomcleat/platform"
 )
 
 // Request headers that control the stub, and a header of its responses.
@@ -30,9 +26,6 @@
 	HeaderSeal  = "Stub-Seal"  // Set on successful responses to SealOf of the request id.
 )
 
-// pathHeartbeat is the path of heartbeats at the node. The id of the incarnation follows.
-const pathHeartbeat = "/-/instances/"
-
 // Config configures a Backend. All fields are required.
 type Config struct {
 	Service           string
@@ -219,196 +212,3 @@
 	}
 	b.client.CloseIdleConnections()
 }
-
-// sendHeartbeats sends heartbeats while the incarnation runs.
-func (b *Backend) sendHeartbeats(incarnation string) {
-	for b.isRunning(incarnation) {
-		b.sendHeartbeat(incarnation)
-		time.Sleep(b.config.HeartbeatInterval)
-	}
-}
-
-func (b *Backend) isRunning(incarnation string) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.server != nil && b.incarnation == incarnation
-}
-
-// heartbeat is the body of a heartbeat.
-type heartbeat struct {
-	Born    int64           `json:"born"`
-	Address string          `json:"address"`
-	Info    heartbeatInfo   `json:"info"`
-	Status  heartbeatStatus `json:"status"`
-}
-
-type heartbeatInfo struct {
-	Service string `json:"service"`
-	Version string `json:"version"`
-	Zone    string `json:"zone"`
-	Slots   int    `json:"slots"`
-}
-
-type heartbeatStatus struct {
-	State    string `json:"state"`
-	Sequence int    `json:"seq"`
-	Cold     string `json:"cold_remaining"`
-}
-
-// sendHeartbeat sends a heartbeat and reports whether the node acknowledged it.
-func (b *Backend) sendHeartbeat(incarnation string) bool {
-	b.mutex.Lock()
-	if b.incarnation != incarnation {
-		b.mutex.Unlock()
-		return false
-	}
-	b.sequence++
-	state := "ready"
-	if b.draining {
-		state = "draining"
-	}
-	id := b.id
-	body, err := json.Marshal(heartbeat{
-		Born:    b.born,
-		Address: b.config.Address,
-		Info:    heartbeatInfo{Service: b.config.Service, Version: "v1", Zone: "z", Slots: b.config.Slots},
-		Status:  heartbeatStatus{State: state, Sequence: b.sequence, Cold: "0ms"},
-	})
-	b.mutex.Unlock()
-	return err == nil && b.callNode(http.MethodPut, id, string(body))
-}
-
-func (b *Backend) deregister() {
-	b.mutex.Lock()
-	id, born := b.id, b.born
-	b.mutex.Unlock()
-	b.callNode(http.MethodDelete, id, fmt.Sprintf(`{"born":%d}`, born))
-}
-
-// SendForeign sends a message of another writer to the node in place of a heartbeat and returns the HTTP
-// status, 0 for no response.
-func (b *Backend) SendForeign(body string) int {
-	return b.request(http.MethodPut, "i-foreign", body)
-}
-
-// heartbeatTimeout is the time limit for the acknowledgement of a heartbeat.
-const heartbeatTimeout = time.Second
-
-// callNode sends a message about a back end to the node and reports whether it was acknowledged.
-func (b *Backend) callNode(method, id, body string) bool {
-	status := b.request(method, id, body)
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
-}
-
-// request sends a message about a back end to the node and returns the HTTP status, 0 for no response.
-func (b *Backend) request(method, id, body string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.config.HeartbeatAddress+pathHeartbeat+id, strings.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	response, err := b.client.Do(request)
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	return response.StatusCode
-}
-
-// serve runs a request at an incarnation.
-func (b *Backend) serve(w http.ResponseWriter, r *http.Request, incarnation string) {
-	dialect := platform.Dialect()
-	requestID := r.Header.Get(dialect.RequestID)
-	w.Header().Set(dialect.RequestID, requestID)
-	id := b.currentID()
-	if expected := r.Header.Get(dialect.ExpectInstance); expected != "" && expected != id {
-		w.Header().Set(dialect.Instance, id)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	b.config.Observer.Arrived(incarnation)
-	release, ok := b.slots.Take(r.Context())
-	if !ok {
-		w.Header().Set(dialect.NotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer release()
-	crashes := r.Header.Get(HeaderCrash) != ""
-	b.config.Observer.RequestStarted(requestID, incarnation)
-	time.Sleep(b.config.WorkTime)
-	if crashes {
-		b.Crash(incarnation)
-		<-r.Context().Done()
-		return
-	}
-	b.declare(w.Header(), incarnation)
-	if path := r.Header.Get(HeaderCall); path != "" && !b.call(r, path) {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set(HeaderSeal, SealOf(requestID))
-	_, _ = fmt.Fprintf(w, "%s %s", b.config.Service, requestID)
-}
-
-func (b *Backend) currentID() string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.id
-}
-
-// Headers of the protocol by which an answer declares a rate limit or that the back end is leaving.
-const (
-	headerRateLimit = "Server-Limit"
-	headerLeaving   = "Server-Leaving"
-)
-
-// declare sets the headers of an answer that declare a rate limit and leaving.
-func (b *Backend) declare(header http.Header, incarnation string) {
-	b.mutex.Lock()
-	limit, leaving := b.rateLimit, b.leaving
-	if leaving == leavingUndeclared {
-		b.leaving = leavingDeclared
-	}
-	b.mutex.Unlock()
-	if limit > 0 {
-		header.Set(headerRateLimit, strconv.FormatFloat(limit, 'f', 1, 64))
-	}
-	if leaving != staying {
-		header.Set(headerLeaving, "1")
-	}
-	b.config.Observer.RateLimitDeclared(incarnation, limit)
-	if leaving == leavingUndeclared {
-		b.config.Observer.DrainAcknowledged(incarnation)
-	}
-}
-
-// SealOf returns the value of HeaderSeal for a request, which lets a caller recognize the
-// response to its own request.
-func SealOf(requestID string) string { return "sealed " + requestID }
-
-// call makes a call for a request, to the first of the comma-separated paths. It reports
-// whether the call succeeded with a response that belongs to it.
-func (b *Backend) call(parent *http.Request, path string) bool {
-	dialect := platform.Dialect()
-	path, rest, _ := strings.Cut(path, ",") // The next back end makes the remaining calls.
-	request, err := http.NewRequestWithContext(parent.Context(), http.MethodGet, "http://"+b.config.OutboundAddress+path, nil)
-	if err != nil {
-		return false
-	}
-	request.Host = b.config.Host
-	id := parent.Header.Get(dialect.RequestID) + "." + strconv.Itoa(len(path))
-	request.Header.Set(dialect.RequestID, id)
-	request.Header.Set(dialect.Remaining, parent.Header.Get(dialect.Remaining))
-	if rest != "" {
-		request.Header.Set(HeaderCall, rest)
-	}
-	response, err := b.client.Do(request)
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(string(body), " "+id)
-}
