One way for each: leaving, state of the mesh, entries, first heartbeats of the tests

A tracker had two methods to mark a back end as leaving, beside State.WithLeaving, and the plug-in two ways to pass it on, one of which waited for the control loop; the mesh kept a copy of a state that its machine holds; an entry was decoded twice; the name of an incarnation was built up to three times for each request, also where nobody reads it; a limit was bounded twice; tests repeated the wait for readiness with the first heartbeat in nine places, and the set-up of a watcher in three. Change: State.WithLeaving is the one rule, which Tracker.ObserveLeaving and plug-in instance use; what is announced is the state that requests read, so that a task which the full queue of the loop dropped no longer leaves peers untold; the rest likewise by one piece of code. Event 425 always has the field recalled. Safe: no bound, check or message between processes changes; assertions of tests are the same, their calls follow the signatures.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -31,6 +31,6 @@
 // requests of the route met (pressure.go). The order among requests is their rank
 // (rank.go).
 //
-// The package owns these rules and their constants, and depends on package ratelimit only. All types take the time as an argument and do no I/O. Controller is safe for
-// concurrent use.
+// The package owns these rules and their constants, and depends on package ratelimit only. All
+// types take the time as an argument and do no I/O. Controller is safe for concurrent use.
 package admission
--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -53,7 +53,6 @@
 // and waits until they serve requests.
 func startCrashingBackEnds(t *testing.T, count int) []*crashingBackEnd {
 	t.Helper()
-	is := is.New(t)
 	stub := metastore.NewServer()
 	store := httptest.NewServer(stub.Handler())
 	t.Cleanup(store.Close)
@@ -67,8 +66,7 @@
 		backEnds = append(backEnds, b)
 	}
 	for _, b := range backEnds {
-		eventually(t, "readiness", func() bool { return b.node.probeReadiness() == http.StatusOK })
-		is.Equal(b.node.sendHeartbeat("ready"), http.StatusOK)
+		b.node.awaitReady(t)
 		b.node.getUntilServed(t, "/front/x", "")
 	}
 	return backEnds
@@ -260,8 +258,7 @@
 	crashThreeBackEnds(t, backEnds)
 	before, _ := countCrashes(backEnds)
 	requireRefused := func(b *crashingBackEnd) {
-		eventually(t, "readiness", func() bool { return b.node.probeReadiness() == http.StatusOK })
-		is.Equal(b.node.sendHeartbeat("ready"), http.StatusOK)
+		b.node.awaitReady(t)
 		b.node.getUntilServed(t, "/front/x", "")
 		time.Sleep(propagationTime)
 		is.Equal(b.node.get(crashingPath, "").status, http.StatusServiceUnavailable)
--- a/e2e/declaration_test.go
+++ b/e2e/declaration_test.go
@@ -99,7 +99,6 @@
 // waits until all of them serve requests.
 func startDeclaringBackEnds(t *testing.T, count int) []*declaringBackEnd {
 	t.Helper()
-	is := is.New(t)
 	stub := metastore.NewServer()
 	store := httptest.NewServer(stub.Handler())
 	t.Cleanup(store.Close)
@@ -117,8 +116,7 @@
 		backEnds = append(backEnds, b)
 	}
 	for _, b := range backEnds {
-		eventually(t, "readiness", func() bool { return b.node.probeReadiness() == http.StatusOK })
-		is.Equal(b.node.sendHeartbeat("ready"), http.StatusOK)
+		b.node.awaitReady(t)
 	}
 	for _, b := range backEnds {
 		eventually(t, "a back end to be used", func() bool {
@@ -222,11 +220,9 @@
 // restart kills the node and starts it again beside the same back end.
 func (b *declaringBackEnd) restart(t *testing.T) {
 	t.Helper()
-	is := is.New(t)
 	b.node.kill()
 	b.node.restart()
-	eventually(t, "readiness", func() bool { return b.node.probeReadiness() == http.StatusOK })
-	is.Equal(b.node.sendHeartbeat("ready"), http.StatusOK)
+	b.node.awaitReady(t)
 }
 
 // TestRestartedNodeKeepsDeclaredLimit guards against a node that was restarted and floods its back
@@ -269,10 +265,8 @@
 // startEntry starts a node of another service, whose callers call the given back end.
 func startEntry(t *testing.T, b *declaringBackEnd) *platformNode {
 	t.Helper()
-	is := is.New(t)
 	entry := startPlatformNode(t, b.storeURL, "deep")
-	eventually(t, "readiness", func() bool { return entry.probeReadiness() == http.StatusOK })
-	is.Equal(entry.sendHeartbeat("ready"), http.StatusOK)
+	entry.awaitReady(t)
 	entry.getUntilServed(t, "/front/x", "")
 	return entry
 }
--- a/e2e/incarnation_test.go
+++ b/e2e/incarnation_test.go
@@ -1,24 +1,13 @@
 package e2e
 
 import (
-	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
-// heartbeatOf sends a heartbeat of one life of a back end, started at born in Unix milliseconds,
-// and returns the HTTP status.
-func (n *platformNode) heartbeatOf(born, sequence int64, state string) int {
-	body := fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
-		born, n.backEndAddress, n.service, n.slots, state, sequence)
-	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+*n.incarnation.Load(), strings.NewReader(body))
-	return fetchStatus(request)
-}
-
 // TestBackEndStartsAgainUnderItsID guards against a back end that starts again under its id and
 // stays closed because it was leaving before, or whose heartbeats are taken for late ones.
 func TestBackEndStartsAgainUnderItsID(t *testing.T) {
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -148,12 +148,30 @@
 
 // sendHeartbeat sends a heartbeat of the back end and returns the HTTP status, 0 for no answer.
 func (n *platformNode) sendHeartbeat(state string) int {
-	body := fmt.Sprintf(`{"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
-		n.backEndAddress, n.service, n.slots, state, n.sequence.Add(1))
+	return n.putHeartbeat("", n.sequence.Add(1), state)
+}
+
+// heartbeatOf sends a heartbeat of one life of the back end, started at born in Unix milliseconds, and
+// returns the HTTP status.
+func (n *platformNode) heartbeatOf(born, sequence int64, state string) int {
+	return n.putHeartbeat(fmt.Sprintf(`"born":%d,`, born), sequence, state)
+}
+
+// putHeartbeat sends a heartbeat that begins with the given fields.
+func (n *platformNode) putHeartbeat(fields string, sequence int64, state string) int {
+	body := fmt.Sprintf(`{%s"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},"status":{"state":%q,"seq":%d,"cold_remaining":"0ms"}}`,
+		fields, n.backEndAddress, n.service, n.slots, state, sequence)
 	request, _ := http.NewRequest(http.MethodPut, "http://"+n.heartbeats+"/-/instances/"+*n.incarnation.Load(), strings.NewReader(body))
 	return fetchStatus(request)
 }
 
+// awaitReady waits until the process is ready and sends the first heartbeat of its back end.
+func (n *platformNode) awaitReady(t *testing.T) {
+	t.Helper()
+	eventually(t, "readiness", func() bool { return n.probeReadiness() == http.StatusOK })
+	is.New(t).Equal(n.sendHeartbeat("ready"), http.StatusOK)
+}
+
 // probeReadiness returns the HTTP status of the readiness probe, 0 for no answer.
 func (n *platformNode) probeReadiness() int {
 	request, _ := http.NewRequest(http.MethodGet, "http://"+n.readiness+"/-/readiness", nil)
@@ -296,8 +314,7 @@
 	}
 	stub.Put("op/config", platformConfiguration(3, "front"))
 	for _, n := range nodes {
-		eventually(t, "readiness", func() bool { return n.probeReadiness() == http.StatusOK })
-		is.Equal(n.sendHeartbeat("ready"), http.StatusOK)
+		n.awaitReady(t)
 	}
 
 	// A request to one node is served by the back end of the other, which makes a call.
@@ -362,8 +379,7 @@
 	front := startPlatformNode(t, store.URL, "front")
 	deep := startPlatformNode(t, store.URL, "deep")
 	for _, n := range []*platformNode{front, deep} {
-		eventually(t, "readiness", func() bool { return n.probeReadiness() == http.StatusOK })
-		is.Equal(n.sendHeartbeat("ready"), http.StatusOK)
+		n.awaitReady(t)
 	}
 	deep.getUntilServed(t, "/front/x", "")
 	statuses := deep.pipeline(t, front, []string{"Work: 300ms", "Work: 600ms", "Work: 50ms"}, func() {
--- a/e2e/suspended_test.go
+++ b/e2e/suspended_test.go
@@ -78,8 +78,7 @@
 	backend := httptest.NewServer(http.HandlerFunc(front.serveBackEnd))
 	t.Cleanup(backend.Close)
 	front.startWithBackEnd(t, store.URL, backend.Listener.Addr().String(), "key_revocation: "+revocationTime.String())
-	eventually(t, "readiness", func() bool { return front.probeReadiness() == http.StatusOK })
-	is.Equal(front.sendHeartbeat("ready"), http.StatusOK)
+	front.awaitReady(t)
 	eventually(t, "a request to be served", func() bool { return front.getWithKey(t, "/front/x", keyOfSmith, nil).StatusCode == http.StatusOK })
 
 	runs := front.runs.Load()
--- a/e2e/tenants_test.go
+++ b/e2e/tenants_test.go
@@ -60,7 +60,6 @@
 // startKeyedNodes starts both nodes and waits until they serve requests.
 func startKeyedNodes(t *testing.T) *keyedNodes {
 	t.Helper()
-	is := is.New(t)
 	k := &keyedNodes{stub: metastore.NewServer()}
 	k.stub.Put("op/config", tenantsConfiguration(3, allTenants))
 	nodes := [2]*platformNode{}
@@ -72,8 +71,7 @@
 	}
 	k.front, k.deep = nodes[0], nodes[1]
 	for _, n := range nodes {
-		eventually(t, "readiness", func() bool { return n.probeReadiness() == http.StatusOK })
-		is.Equal(n.sendHeartbeat("ready"), http.StatusOK)
+		n.awaitReady(t)
 	}
 	eventually(t, "a request to be served", func() bool { return k.deep.getWithKey(t, "/front/x", keyOfSmith, nil).StatusCode == http.StatusOK })
 	return k
--- a/instance/declared_test.go
+++ b/instance/declared_test.go
@@ -57,19 +57,20 @@
 		is.NoErr(tracker.Observe(now, Report{ID: "i-1", Service: "s", Sequence: 1}))
 		return tracker
 	}
+	closesAt := now.Add(time.Second)
 	tracker := newTracker()
-	is.True(!tracker.ObserveLeaving(now, "i-0"))
+	is.True(!tracker.ObserveLeaving("i-0", closesAt))
 	is.True(tracker.State().Open(now))
-	is.True(tracker.ObserveLeaving(now, "i-1"))
-	is.True(!tracker.ObserveLeaving(now.Add(time.Second/2), "i-1")) // does not extend the time
+	is.True(tracker.ObserveLeaving("i-1", closesAt))
+	is.True(!tracker.ObserveLeaving("i-1", closesAt.Add(time.Second/2))) // does not extend the time
 	is.True(tracker.State().Open(now.Add(time.Second - 1)))
 	is.True(!tracker.State().Open(now.Add(time.Second)))
 	is.NoErr(tracker.Observe(now, Report{ID: "i-1", Service: "s", Sequence: 2})) // a heartbeat that says ready
 	is.True(!tracker.State().Open(now.Add(time.Second)))
 
 	tracker = newTracker()
-	is.True(!tracker.ObserveClosed(now, "i-0"))
+	is.True(!tracker.ObserveLeaving("i-0", now))
 	is.True(tracker.State().Open(now))
-	is.True(tracker.ObserveClosed(now, "i-1"))
+	is.True(tracker.ObserveLeaving("i-1", now))
 	is.True(!tracker.State().Open(now))
 }
--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -149,34 +149,18 @@
 	}
 }
 
-// ObserveLeaving processes an answer of an incarnation that declares that it is leaving. It reports
-// whether that was not known.
-func (t *Tracker) ObserveLeaving(now time.Time, incarnation string) bool {
-	if incarnation != t.state.Incarnation() || t.state.Leaving {
-		return false
-	}
-	t.leave(now)
-	return true
-}
-
-// ObserveClosed processes the information that an incarnation has been leaving for an unknown time,
-// so that no more requests may be sent to it. It reports whether that was not known.
-func (t *Tracker) ObserveClosed(now time.Time, incarnation string) bool {
-	known := !t.ObserveLeaving(now, incarnation)
-	if !known {
-		t.state.ClosesAt = now
-	}
-	return !known
+// ObserveLeaving processes the information that an incarnation is leaving and takes no more requests from
+// closesAt on. It reports whether that was not known.
+func (t *Tracker) ObserveLeaving(incarnation string, closesAt time.Time) bool {
+	before := t.state
+	t.state = before.WithLeaving(incarnation, closesAt)
+	return t.state.Leaving && !before.Leaving
 }
 
 // leave marks the back end as leaving. Leaving is final, so that an acknowledged announcement
 // stays valid.
 func (t *Tracker) leave(now time.Time) {
-	if t.state.Leaving {
-		return
-	}
-	t.state.Leaving = true
-	t.state.ClosesAt = now.Add(t.config.CloseAfter)
+	t.ObserveLeaving(t.state.Incarnation(), now.Add(t.config.CloseAfter))
 }
 
 // ObserveReplacement processes the id of another back end, actual, which refused a request sent
--- a/kernel/era.go
+++ b/kernel/era.go
@@ -23,20 +23,25 @@
 // ObserveStoreEra handles an era that the store or a peer has shown. The first one that this process
 // sees is no sign of a restore.
 func (p *Process) ObserveStoreEra(era store.Era) {
+	before, raised := p.storeEra.raise(uint64(era))
+	if !raised || before == 0 {
+		return
+	}
+	p.Log.Emit(event.StoreRestored, "era", uint64(era), "before", before)
+	for _, run := range p.storeEra.restored {
+		run()
+	}
+}
+
+// raise raises the highest era to the given one. It returns the era before, and whether it was lower.
+func (e *storeEra) raise(era uint64) (before uint64, raised bool) {
 	for {
-		known := p.storeEra.highest.Load()
-		if uint64(era) <= known {
-			return
-		}
-		if !p.storeEra.highest.CompareAndSwap(known, uint64(era)) {
-			continue
+		before = e.highest.Load()
+		if era <= before {
+			return before, false
 		}
-		if known > 0 {
-			p.Log.Emit(event.StoreRestored, "era", uint64(era), "before", known)
-			for _, run := range p.storeEra.restored {
-				run()
-			}
+		if e.highest.CompareAndSwap(before, era) {
+			return before, true
 		}
-		return
 	}
 }
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -40,15 +40,20 @@
 	wire.WriteDeclared(header, p.declared())
 }
 
-// declared returns what the back end of this node has declared about itself.
+// declared returns what the back end of this node has declared about itself. The incarnation is left
+// out if it has declared nothing.
 func (p *Process) declared() instance.Declared {
 	var declared instance.Declared
 	if limit, limited := p.RateLimit.Limit(); limited {
 		declared.Limit = &limit
 	}
-	if p.BackEnd != nil {
-		state := p.BackEnd.State()
-		declared.Incarnation, declared.Leaving = state.Incarnation(), state.Leaving
+	if p.BackEnd == nil {
+		return declared
+	}
+	state := p.BackEnd.State()
+	declared.Leaving = state.Leaving
+	if declared.Restricted() {
+		declared.Incarnation = state.Incarnation()
 	}
 	return declared
 }
--- a/plugin/configsync/restore_test.go
+++ b/plugin/configsync/restore_test.go
@@ -20,20 +20,16 @@
 func TestOlderCopyProvesNothing(t *testing.T) {
 	is := is.New(t)
 	stub := &hangingStore{revision: 8}
-	process := newProcess(t, gatewaySettings(), stub)
-	go func() { _ = process.Start(t.Context()) }()
-	synchronizer, ok := process.Documents.(*synchronizer)
-	is.True(ok)
-	w := &watcher{synchronizer: synchronizer, document: synchronizer.documents[wire.DocumentPolicy]}
+	w := startWatcher(t, stub)
 	is.NoErr(w.step(t.Context()))
 	before := clock.Now().Time()
 	stub.set(false, 7)
 	w.position = 0
 	is.NoErr(w.step(t.Context()))
 	now := clock.Now().Time()
-	age, known := synchronizer.PolicyProof(now)
+	age, known := w.synchronizer.PolicyProof(now)
 	is.True(known && age >= now.Sub(before)) // the proof is that of the first read
-	is.Equal(synchronizer.Revisions().Policy, uint64(8))
+	is.Equal(w.synchronizer.Revisions().Policy, uint64(8))
 }
 
 // TestIndexOfEarlierEraIsOfferedAgain guards against a changed document that is taken for the known one
@@ -41,18 +37,14 @@
 func TestIndexOfEarlierEraIsOfferedAgain(t *testing.T) {
 	is := is.New(t)
 	stub := &hangingStore{revision: 8}
-	process := newProcess(t, gatewaySettings(), stub)
-	go func() { _ = process.Start(t.Context()) }()
-	synchronizer, ok := process.Documents.(*synchronizer)
-	is.True(ok)
-	w := &watcher{synchronizer: synchronizer, document: synchronizer.documents[wire.DocumentPolicy]}
+	w := startWatcher(t, stub)
 	is.NoErr(w.step(t.Context()))
 	stub.set(false, 9)
 	changed, err := stub.Get(t.Context(), "")
 	is.NoErr(err)
 	changed.Index, changed.Era = w.offeredIndex, w.offeredEra+1
 	is.NoErr(w.offerEntry(t.Context(), changed))
-	is.Equal(synchronizer.Revisions().Policy, uint64(9))
+	is.Equal(w.synchronizer.Revisions().Policy, uint64(9))
 }
 
 // countingRegistry counts registrations.
--- a/plugin/configsync/watch_test.go
+++ b/plugin/configsync/watch_test.go
@@ -72,23 +72,30 @@
 	return process
 }
 
+// startWatcher starts a process and returns a watcher of its policy that the test steps.
+func startWatcher(t *testing.T, documents store.Store) *watcher {
+	t.Helper()
+	process := newProcess(t, gatewaySettings(), documents)
+	go func() { _ = process.Start(t.Context()) }()
+	synchronizer, ok := process.Documents.(*synchronizer)
+	is.New(t).True(ok)
+	return &watcher{synchronizer: synchronizer, document: synchronizer.documents[wire.DocumentPolicy]}
+}
+
 // TestUnchangedEntryDecodedOnce guards against decoding a document again although the store
 // returned the same entry.
 func TestUnchangedEntryDecodedOnce(t *testing.T) {
 	is := is.New(t)
 	stub := &hangingStore{revision: 5}
-	process := newProcess(t, gatewaySettings(), stub)
-	go func() { _ = process.Start(t.Context()) }()
-	synchronizer, ok := process.Documents.(*synchronizer)
-	is.True(ok)
+	w := startWatcher(t, stub)
 	decoded := 0
-	w := &watcher{synchronizer: synchronizer, document: &document{
+	w.document = &document{
 		name: wire.DocumentPolicy,
 		revisionOf: func(data []byte) (uint64, error) {
 			decoded++
 			return policyRevision(data)
 		},
-	}}
+	}
 	for range 5 {
 		w.position = 0 // Read at once.
 		is.NoErr(w.step(t.Context()))
--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -93,7 +93,7 @@
 		call.Header.Set(header, state.ID)
 	}
 	call.Incarnation = state.Incarnation()
-	return state.Incarnation(), nil
+	return call.Incarnation, nil
 }
 
 // checkRequestID returns an error if the response answers another request.
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -58,19 +58,21 @@
 }
 
 func (p *plugin) ObserveLeaving(incarnation string) {
-	observedAt := clock.Now().Time()
+	p.setLeaving(incarnation, clock.Now().Time().Add(p.closeAfter), false)
+}
+
+// setLeaving closes an incarnation from closesAt on. Requests and reports see that at once; the control
+// loop, which owns the tracker, follows. recalled tells the source for the log.
+func (p *plugin) setLeaving(incarnation string, closesAt time.Time, recalled bool) {
 	before, after := p.changeState(func(state instance.State) instance.State {
-		return state.WithLeaving(incarnation, observedAt.Add(p.closeAfter))
+		return state.WithLeaving(incarnation, closesAt)
 	})
 	if before.Leaving == after.Leaving {
 		return
 	}
-	// The answer already reports the new state to the process that passes it on. The control loop,
-	// which owns the tracker, follows.
+	p.process.Log.Emit(event.LeavingDeclared, "backend", p.process.Settings.Backend, "instance", incarnation, "recalled", recalled)
 	p.process.Loop.Post(func(time.Time) {
-		if p.tracker.ObserveLeaving(observedAt, incarnation) {
-			p.process.Log.Emit(event.LeavingDeclared, "backend", p.process.Settings.Backend, "instance", incarnation)
-		}
+		p.tracker.ObserveLeaving(incarnation, closesAt)
 		p.publish()
 	})
 }
@@ -124,7 +126,7 @@
 // announce announces to peers whether they may send requests to this node. It runs on the control
 // loop.
 func (p *plugin) announce() {
-	state := p.tracker.State()
+	state := p.State()
 	p.process.Mesh.SetState(state.Leaving, state.ID == "" || p.unreachable.Load())
 }
 
@@ -142,18 +144,8 @@
 // that the back end is leaving. It returns the state after that. When the back end began to leave
 // is not known, so that no time is left for further requests.
 func (p *plugin) recall(call *kernel.Call) instance.State {
-	state, declared := p.State(), call.Declared
-	if !declared.Leaving || state.Leaving || declared.Incarnation != state.Incarnation() {
-		return state
-	}
-	err := p.process.Loop.Do(call.Context, func(now time.Time) {
-		if p.tracker.ObserveClosed(now, declared.Incarnation) {
-			p.process.Log.Emit(event.LeavingDeclared, "instance", declared.Incarnation, "recalled", true)
-		}
-		p.publish()
-	})
-	if err != nil {
-		return instance.State{ID: state.ID, Leaving: true} // closed, also if the control loop is busy
+	if call.Declared.Leaving {
+		p.setLeaving(call.Declared.Incarnation, clock.Now().Time(), true)
 	}
 	return p.State()
 }
--- a/plugin/membership/machines.go
+++ b/plugin/membership/machines.go
@@ -104,7 +104,7 @@
 	// repeats the request until this process announces that it leaves.
 	_ = m.process.Loop.Do(r.Context(), func(time.Time) {
 		m.machineLeaving = true
-		m.SetState(m.leaving, m.down)
+		m.SetState(true, m.stateMachine.Self().Down)
 	})
 	kernel.WriteJSON(w, wire.Empty{})
 }
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -79,8 +79,6 @@
 type mesh struct {
 	process      *kernel.Process
 	stateMachine *membership.Machine
-	// State of the back end that was set last.
-	leaving, down bool
 	// The machine list has shown this machine as leaving.
 	machineLeaving bool
 	// Seeds of the settings, and addresses of the machine list.
@@ -96,7 +94,6 @@
 // SetState implements kernel.Mesh. A process that has announced that it leaves, or whose machine is
 // leaving by the machine list, stays leaving.
 func (m *mesh) SetState(leaving, down bool) {
-	m.leaving, m.down = leaving, down
 	m.stateMachine.SetState(leaving || m.machineLeaving || m.process.LeaveAnnounced(), down)
 }
 
--- a/plugin/membership/state_test.go
+++ b/plugin/membership/state_test.go
@@ -25,7 +25,7 @@
 	m.SetState(false, true)
 	is.True(!m.stateMachine.Self().Leaving)
 	m.machineLeaving = true
-	m.SetState(m.leaving, m.down)
+	m.SetState(true, m.stateMachine.Self().Down)
 	is.True(m.stateMachine.Self().Leaving && m.stateMachine.Self().Down)
 	m.SetState(false, false)
 	is.True(m.stateMachine.Self().Leaving && !m.stateMachine.Self().Down)
--- a/plugin/quarantine/stored.go
+++ b/plugin/quarantine/stored.go
@@ -60,10 +60,7 @@
 // saveAgain requests a save after the store was restored from an older copy, which may lack requests
 // in quarantine.
 func (p *plugin) saveAgain() {
-	p.mutex.Lock()
-	quarantined := p.ledger.CrashesOfQuarantined(clock.Now().Time())
-	p.mutex.Unlock()
-	if len(quarantined) > 0 {
+	if len(p.quarantinedCrashes()) > 0 {
 		time.AfterFunc(rand.N(saveAgainSpread), p.requestSave)
 	}
 }
@@ -114,10 +111,7 @@
 	if err != nil {
 		return false, err
 	}
-	p.mutex.Lock()
-	crashes := p.ledger.CrashesOfQuarantined(clock.Now().Time())
-	p.mutex.Unlock()
-	data, err := json.Marshal(wire.Crashes{Crashes: withoutAges(crashes)})
+	data, err := json.Marshal(wire.Crashes{Crashes: withoutAges(p.quarantinedCrashes())})
 	if err != nil {
 		return false, err
 	}
@@ -127,6 +121,13 @@
 	return p.process.Store.CompareAndSwap(ctx, storeKey, data, entry.Index)
 }
 
+// quarantinedCrashes returns the crashes of the requests in quarantine.
+func (p *plugin) quarantinedCrashes() []quarantine.CrashReport {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.ledger.CrashesOfQuarantined(clock.Now().Time())
+}
+
 // withoutAges sets the ages of crashes to zero in place, since it is unknown how long they
 // will have been in the store when they are read.
 func withoutAges(crashes []quarantine.CrashReport) []quarantine.CrashReport {
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -23,7 +23,7 @@
 	interval := maximumInterval
 	if limit > 0 {
 		seconds := float64(max(callers, 1)) / (usedShare * float64(limit))
-		interval = min(time.Duration(min(seconds, maximumInterval.Seconds())*float64(time.Second)), maximumInterval)
+		interval = time.Duration(min(seconds, maximumInterval.Seconds()) * float64(time.Second))
 	}
 	if s.interval == 0 {
 		s.nextAt = now.Add(time.Duration(random * float64(interval)))
