kernel: a node that refuses a call early names the attempt

What callers saw: a payment to a node that had just started ended with 502 and result 3005, may have run, though the node had refused it as not run (2008). Cause: what is refused before the call is built, not ready or another service, carried no report, so that the caller found no identity of its attempt and took the answer for another request's. Change: such a refusal carries the attempt and the delegated retries, which it has not used. Safe: only what inboundCall refuses changes, and only towards other processes; the status, the code and not run are as before.

--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -15,7 +15,17 @@
 
 // serveInbound serves a call of another process to the back end of this node.
 func (p *Process) serveInbound(w http.ResponseWriter, r *http.Request) {
-	p.serve(w, r, DirectionInbound, p.inbound, p.inboundCall)
+	build := func(r *http.Request) (*Call, error) {
+		received := wire.ReadCallContext(r.Header)
+		call, err := p.inboundCall(r, &received)
+		if err != nil {
+			// The caller takes an answer without its attempt for that of another request.
+			refused := wire.Report{Attempt: received.Attempt, UnusedRetries: received.RetryAllowance}
+			refused.Write(w.Header())
+		}
+		return call, err
+	}
+	p.serve(w, r, DirectionInbound, p.inbound, build)
 }
 
 // addReport writes the report for the calling process into the header of an answer.
@@ -59,8 +69,7 @@
 }
 
 // inboundCall builds a call of another process to the back end of this node.
-func (p *Process) inboundCall(r *http.Request) (*Call, error) {
-	received := wire.ReadCallContext(r.Header)
+func (p *Process) inboundCall(r *http.Request, received *wire.CallContext) (*Call, error) {
 	service := p.Settings.Service
 	if received.Service != "" && received.Service != service {
 		return nil, result.New(result.NodeRefused, "this node serves %s, not %s", service, received.Service)
@@ -75,7 +84,7 @@
 	}
 	call.Inbound = true
 	call.Tenant = p.Dialect.ReadTenant(call.Header)
-	p.readContext(call, &received)
+	p.readContext(call, received)
 	call.Declared = wire.ReadDeclared(call.Header)
 	wire.RemoveInternal(call.Header)
 	call.Execution = &Execution{
@@ -89,7 +98,7 @@
 		IsRetry:   call.IsRetry,
 	}
 	for _, read := range p.hooks.readContext {
-		if err := read(call, &received); err != nil {
+		if err := read(call, received); err != nil {
 			return nil, err
 		}
 	}
