forward: no connection carries two attempts of one request

What callers saw: 503 for a request that was running. A back end sheds a request and sends that refusal once more, late.

Cause: the second attempt went out on the connection that the first one had just given back to the pool, with the same request ID. forward tells answers apart by that ID, which cannot tell two attempts of one request apart.

Change: the process that makes the attempts knows when an earlier one may have reached a back end, and says so with the next (Call.Resent, value "resent" of the call context). The node sends such an attempt on a connection that has carried nothing. It takes the place of an idle one, as back ends bound their number.

Why it is safe: a connection that has carried nothing holds no bytes of an earlier exchange, whatever the back end sent twice and however late. Attempts after refusals by nodes keep using the pool. A node of an older version skips the new value.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -42,6 +42,9 @@
 	Declared instance.Declared
 	// IsRetry is true when this attempt, or one upstream of it, is a retry.
 	IsRetry bool
+	// Resent is true when an earlier attempt of this call may have reached a back end, with the
+	// same RequestID.
+	Resent bool
 	// TriedNodes lists the nodes to which earlier attempts were sent.
 	TriedNodes []string
 	// Attempt identifies this attempt of the call.
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -119,5 +119,6 @@
 	call.Budget = retrybudget.Open(min(received.RetryAllowance, policy.MaximumRetryBudget))
 	call.Hops = received.Hops
 	call.IsRetry = received.IsRetry
+	call.Resent = received.Resent
 	call.Policy.TargetLatency = received.TargetLatency
 }
--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -61,6 +61,15 @@
 	return response, nil
 }
 
+// SendOnNewConnection is like Send, but no other request was sent on the connection before.
+func (t *Transmitter) SendOnNewConnection(ctx context.Context, call *Call, address string, header http.Header) (*http.Response, error) {
+	response, err := t.client.DoOnNewConnection(ctx, address, requestOf(call, header))
+	if err != nil {
+		return nil, t.classify(ctx, err)
+	}
+	return response, nil
+}
+
 // requestOf builds the HTTP request of a call.
 func requestOf(call *Call, header http.Header) *http.Request {
 	body, length := call.Body.Open()
--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -38,7 +38,7 @@
 	f.process.Dialect.WriteRemaining(call.Header, left)
 	f.process.Counters.BackEndRequests.Add(1)
 	sentAt := time.Now()
-	response, err := f.transmitter.Send(call.Context, call, f.process.Settings.Backend, call.Header)
+	response, err := f.send(call)
 	if err != nil {
 		if result.From(err).Code == result.BackendUnreachable {
 			f.recordUnreachable()
@@ -62,6 +62,17 @@
 	return &kernel.Answer{Response: response}, nil
 }
 
+// send sends the call. If the back end may have received it before, a late second copy of the
+// answer to that attempt has the same request ID as this one. Therefore no connection carries
+// two attempts of one call.
+func (f *forwarder) send(call *kernel.Call) (*http.Response, error) {
+	address := f.process.Settings.Backend
+	if call.Resent {
+		return f.transmitter.SendOnNewConnection(call.Context, call, address, call.Header)
+	}
+	return f.transmitter.Send(call.Context, call, address, call.Header)
+}
+
 // recordLoad records the load that the back end reports in an answer.
 func (f *forwarder) recordLoad(header http.Header) {
 	if f.process.Dialect.ReadLoad == nil {
--- a/plugin/retry/limiter_test.go
+++ b/plugin/retry/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -82,6 +83,49 @@
 	}
 }
 
+// TestResentAfterArrival guards against an attempt that the back end may have received before and
+// that does not say so, and against one that says so although no back end received it.
+func TestResentAfterArrival(t *testing.T) {
+	ok := answerWith(http.StatusOK)
+	for name, c := range map[string]struct {
+		attempts []attempt
+		want     []bool
+	}{
+		"refused by nodes":                   {[]attempt{failWith(result.NodeRefused), failWith(result.Overloaded), ok}, []bool{false, false, false}},
+		"refused by the back end":            {[]attempt{failWith(result.BackendRefused), ok}, []bool{false, true}},
+		"refused by the back end, then node": {[]attempt{failWith(result.BackendRefused), failWith(result.Overloaded), ok}, []bool{false, true, true}},
+		"lost connection":                    {[]attempt{failWith(result.ConnectionLost), ok}, []bool{false, true}},
+		"answer to another request":          {[]attempt{failWith(result.AnswerMismatch), ok}, []bool{false, true}},
+		"failed back end":                    {[]attempt{answerWith(http.StatusServiceUnavailable), ok}, []bool{false, true}},
+	} {
+		for _, shared := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, shared budget %t", name, shared), func(t *testing.T) {
+				is := is.New(t)
+				process := newSharedProcess()
+				if !shared {
+					process.Settings.RetryBudget = settings.RetryBudget{}
+				}
+				r := &retrier{process: process, limiter: newLimiter(process)}
+				resent := []bool{}
+				handler := r.middleware(kernel.HandlerFunc(func(call *kernel.Call) (*kernel.Answer, error) {
+					next := c.attempts[len(resent)]
+					resent = append(resent, call.Resent)
+					if next.err != nil {
+						return nil, next.err
+					}
+					return newAnswer(next.status), nil
+				}))
+				_, err := handler.Handle(&kernel.Call{
+					Context: context.Background(), Service: "s", Body: kernel.NewBufferedBody(nil), Budget: retrybudget.Open(8),
+					Deadline: clock.Now().Add(time.Minute), Policy: policy.Effective{Repeatable: true, RetryRatio: 1},
+				})
+				is.NoErr(err)
+				is.Equal(resent, c.want)
+			})
+		}
+	}
+}
+
 // TestRouteBoundsAttempts guards against a call that makes more attempts than its route allows
 // because its user request has retries left.
 func TestRouteBoundsAttempts(t *testing.T) {
--- a/plugin/retry/retrier.go
+++ b/plugin/retry/retrier.go
@@ -40,6 +40,7 @@
 		decision := retry.Decide(situation)
 		if decision.Arrived {
 			situation.Arrivals++
+			call.Resent = true
 		}
 		switch {
 		case decision.Send && (!decision.Paid || r.limiter.takeRetry(call)):
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -116,6 +116,7 @@
 		Hops:           call.Hops,
 		TargetLatency:  call.Policy.TargetLatency,
 		IsRetry:        call.IsRetry,
+		Resent:         call.Resent,
 	}
 	process.WriteContext(call, &callContext)
 	header := call.Header.Clone()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -75,7 +75,8 @@
 	// retry from the budgets, and the call is not sent if none is left.
 	Send bool
 	Paid bool
-	// Arrived reports that the attempt counts as one that arrived at a back end.
+	// Arrived reports that the attempt may have arrived at a back end. It is false if the call
+	// can't be sent again.
 	Arrived bool
 	// Pause reports that a call which is not sent at once begins a new round of offers
 	// after UnavailablePause.
@@ -89,17 +90,17 @@
 		return decision
 	}
 	if !s.SharedBudget {
-		decision.Send, decision.Paid = true, true
+		decision.Send, decision.Paid, decision.Arrived = true, true, arrived(s)
 		return decision
 	}
 	if s.Offers >= MaximumOffers {
 		return decision
 	}
-	if !arrived(s) {
+	decision.Arrived = arrived(s)
+	if !decision.Arrived {
 		decision.Send = true
 		return decision
 	}
-	decision.Arrived = true
 	decision.Send = s.MaximumArrivals == 0 || s.Arrivals+1 < s.MaximumArrivals
 	decision.Paid = decision.Send
 	return decision
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -43,6 +43,7 @@
 		{"no time for a pause", result.NoNode, func(s *Situation) { s.Left = UnavailablePause + MinimumTimeElsewhere }, final},
 		{"no upstream work", result.NoNode, func(s *Situation) { s.HasUpstreamWork = false }, final},
 		{"offer without shared budget is a retry", result.Overloaded, func(s *Situation) { s.SharedBudget = false }, paid},
+		{"refused by the back end without shared budget", result.BackendRefused, func(s *Situation) { s.SharedBudget = false }, arrivedPaid},
 		{"no pause without shared budget", result.NoNode, func(s *Situation) { s.SharedBudget = false }, final},
 		{"refused upstream", result.ShedEarly, func(*Situation) {}, final},
 		{"faster node may serve it", result.DeadlineTooShort, func(*Situation) {}, free},
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// DoOnNewConnection is like Do, but no other request was sent on its connection before. No
+// bytes that the server sends late for an earlier request can then be read as the response.
+// The connection takes the place of an idle one, since servers bound their number.
+func (c *Client) DoOnNewConnection(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
+	if idle := c.idle.take(address); idle != nil {
+		_ = idle.Close()
+	}
+	opened, err := c.open(ctx, address)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	response, err := opened.exchange(ctx, request)
+	if err != nil {
+		return nil, &Error{Wrote: opened.written.Load() > 0, Err: err}
+	}
+	return response, nil
+}
+
 // reopen resets the body of a request to its start. It reports whether the request
 // can be written again.
 func reopen(request *http.Request) bool {
@@ -107,6 +125,11 @@
 	if kept := c.idle.take(address); kept != nil {
 		return kept, nil
 	}
+	return c.open(ctx, address)
+}
+
+// open opens a connection to an address.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	opened, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -171,6 +171,27 @@
 	}
 }
 
+// TestNewConnection guards against sending a request on a connection that carried another one,
+// whose late response could be read as its own, and against a growing number of connections.
+func TestNewConnection(t *testing.T) {
+	is := is.New(t)
+	server := startServer(t, respondToEach("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	client := newTestClient()
+	defer client.Close()
+	for want := range int64(3) {
+		response, err := client.DoOnNewConnection(t.Context(), server.address, newRequest("GET", ""))
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+		is.Equal(server.connections.Load(), want+1)
+		is.Equal(len(client.idle.byAddress[server.address]), 1)
+	}
+	_, err := read(t, client, server.address, newRequest("GET", ""))
+	is.NoErr(err)
+	is.Equal(server.connections.Load(), int64(3)) // the last one is reused
+}
+
 func TestFailures(t *testing.T) {
 	cases := []struct {
 		name, answer string
--- a/wire/context.go
+++ b/wire/context.go
@@ -30,6 +30,9 @@
 	// ClaimKey is the key under which the call may run at most once, "" for a repeatable
 	// call.
 	ClaimKey string
+	// Resent is true if an earlier attempt of this call may have reached a back end. Unlike
+	// IsRetry, it says nothing of the calls above.
+	Resent bool
 }
 
 // Names of the values of a CallContext in the header.
@@ -44,6 +47,7 @@
 	nameTargetLatency  = "target"
 	nameIsRetry        = "repeat"
 	nameClaimKey       = "claim"
+	nameResent         = "resent"
 )
 
 // Write sets HeaderCall.
@@ -59,6 +63,7 @@
 	list.addNumber(nameTargetLatency, c.TargetLatency.Milliseconds())
 	list.addFlag(nameIsRetry, c.IsRetry)
 	list.addText(nameClaimKey, c.ClaimKey)
+	list.addFlag(nameResent, c.Resent)
 	header[HeaderCall] = []string{list.String()}
 }
 
@@ -87,6 +92,8 @@
 			c.IsRetry = value == "1"
 		case nameClaimKey:
 			c.ClaimKey = value
+		case nameResent:
+			c.Resent = value == "1"
 		}
 	})
 	return c
--- a/wire/context_test.go
+++ b/wire/context_test.go
@@ -13,7 +13,7 @@
 	for name, sent := range map[string]CallContext{
 		"all fields": {
 			Service: "a=b, c&d/é", Request: "r-1", Attempt: "a-1", Priority: 1023, Remaining: 1500 * time.Microsecond,
-			RetryAllowance: 8, Hops: 21, TargetLatency: 300 * time.Millisecond, IsRetry: true, ClaimKey: "00ff",
+			RetryAllowance: 8, Hops: 21, TargetLatency: 300 * time.Millisecond, IsRetry: true, ClaimKey: "00ff", Resent: true,
 		},
 		"some fields": {Service: "s", Request: "r", Attempt: "a", Remaining: time.Second},
 		"no fields":   {},
