exchange: a connection goes back to the pool only after its answer was accepted

What callers saw: after a late surplus answer without a body, each further request on that connection got the answer to the one before, and ended with 502 although it had run; a request that may be repeated could take the answer to its own first attempt.

Cause: an exchange ended with the head of an answer that has no body, so that the connection was in the pool before its caller had compared the request ID. Closing the body of a rejected answer then closed nothing.

Change: an empty body counts like any other one. The connection is used again if the body was read to its end, and is closed with a body that is closed unread. A refusal whose ID matches is read, so that shedding back ends still keep their connections.

Why it is safe: all who accept an answer read its body to the end (copyBody, prefetchBody, capture, discard, readRefusal), and all who reject one close it unread.

Tests, both failing before: transport/exchange TestUnreadResponseClosesConnection, plugin/forward TestMismatchedAnswerClosesConnection ("answer-mismatch" for the request after the victim).

--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -52,7 +53,7 @@
 	}
 	f.recordDeclarations(response, sentAt, expected)
 	if err := f.checkAnswer(call, response, expected); err != nil {
-		_ = response.Body.Close() // unread, which also closes the connection
+		discardRefusal(response)
 		return nil, err
 	}
 	f.recordLoad(response.Header)
@@ -131,6 +132,15 @@
 	return result.New(result.BackendRefused, "the back end refused with status %d", response.StatusCode).WithUsualRetryAfter()
 }
 
+// discardRefusal ends the exchange of a refusal. Its connection can be used again unless the
+// refusal has a body, which might be long.
+func discardRefusal(response *http.Response) {
+	if response.ContentLength == 0 {
+		_, _ = io.Copy(io.Discard, response.Body) // an error closes the connection
+	}
+	_ = response.Body.Close()
+}
+
 // checkToken returns an error if the response carries the token of another execution. Back ends
 // need not return the token.
 func (f *forwarder) checkToken(call *kernel.Call, response *http.Response) error {
--- /dev/null
+++ b/plugin/forward/surplus_test.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/settings"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// startSurplusBackEnd starts a back end that answers each request with an empty body and its ID.
+// Before the answer to the request "victim", it sends the answer to the one before once more.
+func startSurplusBackEnd(t *testing.T) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveSurplus(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serveSurplus(conn net.Conn) {
+	defer conn.Close()
+	reader, before := bufio.NewReader(conn), ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Request-Id")
+		if id == "victim" {
+			writeEmptyAnswer(conn, before)
+			time.Sleep(surplusLead)
+		}
+		writeEmptyAnswer(conn, id)
+		before = id
+	}
+}
+
+// surplusLead is the time by which a surplus answer comes before the one that it displaces.
+const surplusLead = 50 * time.Millisecond
+
+// writeEmptyAnswer writes an answer to the request with an ID, "" for one without.
+func writeEmptyAnswer(conn io.Writer, id string) {
+	if id != "" {
+		id = fmt.Sprintf("Request-Id: %s\r\n", id)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", id)
+}
+
+func newIdentifyingForwarder(address string) *forwarder {
+	return &forwarder{
+		process: &kernel.Process{
+			Log:      event.Discard(),
+			Settings: settings.Settings{Backend: address},
+			Dialect:  wire.Dialect{RequestID: "Request-Id"},
+		},
+		transmitter: kernel.NewTransmitter(kernel.TransmitterConfig{Refused: result.BackendUnreachable, MaximumIdle: 1}),
+	}
+}
+
+// sendWithID sends a request with an ID and reads the answer.
+func sendWithID(t *testing.T, f *forwarder, id string) error {
+	t.Helper()
+	header := http.Header{}
+	if id != "" {
+		header.Set("Request-Id", id)
+	}
+	answer, err := f.handle(&kernel.Call{
+		Context:   t.Context(),
+		Method:    http.MethodGet,
+		URL:       &url.URL{Path: "/"},
+		Header:    header,
+		Body:      kernel.NewBufferedBody(nil),
+		RequestID: id,
+		Deadline:  clock.Now().Add(time.Minute),
+		Execution: &kernel.Execution{},
+	})
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err
+}
+
+// TestMismatchedAnswerClosesConnection guards against using a connection again after it has carried
+// an answer to another request: each later request on it would get the answer to the one before.
+func TestMismatchedAnswerClosesConnection(t *testing.T) {
+	is := is.New(t)
+	f := newIdentifyingForwarder(startSurplusBackEnd(t))
+	is.NoErr(sendWithID(t, f, "first"))
+	err := sendWithID(t, f, "victim")
+	is.Equal(result.From(err).Code, result.AnswerMismatch)
+	is.True(!result.From(err).NotRun())
+	is.NoErr(sendWithID(t, f, "next"))
+}
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -61,7 +61,8 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Do sends a request to an address and returns the response, whose body the caller
-// must close. If ctx ends before the body has been read to its end, the connection
+// must close. The connection is used again only if the body, also an empty one, was read to
+// its end before, which shows that the caller takes the response for that of its request. If ctx ends before the body has been read to its end, the connection
 // is closed, so the server can detect that the client no longer waits. Errors are
 // of type *Error.
 //
--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -171,6 +171,29 @@
 	}
 }
 
+// TestUnreadResponseClosesConnection guards against using a connection again after its caller has
+// rejected the response, as one to another request, without reading it.
+func TestUnreadResponseClosesConnection(t *testing.T) {
+	for name, answer := range map[string]string{
+		"empty body": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"no body":    "HTTP/1.1 204 No Content\r\n\r\n",
+		"body":       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := startServer(t, respondToEach(answer))
+			client := newTestClient()
+			defer client.Close()
+			for want := range int64(2) {
+				response, err := client.Do(t.Context(), server.address, newRequest("GET", ""))
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+				is.Equal(server.connections.Load(), want+1)
+			}
+		})
+	}
+}
+
 // TestNewConnection guards against sending a request on a connection that carried another one,
 // whose late response could be read as its own, and against a growing number of connections.
 func TestNewConnection(t *testing.T) {
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -194,16 +194,16 @@
 // newBody returns the body of a response. The exchange ends when the body has been
 // read to its end or is closed.
 func (c *conn) newBody(response *http.Response) io.ReadCloser {
-	reusable := !response.Close && response.StatusCode != http.StatusSwitchingProtocols
-	keepAlive := keepAliveTimeout(response.Header)
-	if response.Body == http.NoBody {
-		c.finish(reusable, keepAlive)
-		return http.NoBody
+	return &body{
+		ReadCloser: response.Body,
+		conn:       c,
+		reusable:   !response.Close && response.StatusCode != http.StatusSwitchingProtocols,
+		keepAlive:  keepAliveTimeout(response.Header),
 	}
-	return &body{ReadCloser: response.Body, conn: c, reusable: reusable, keepAlive: keepAlive}
 }
 
-// body is the body of a response.
+// body is the body of a response. An empty one must be read as well: a caller that closes it
+// unread has not accepted the response, and the one to its request may still be on its way.
 type body struct {
 	io.ReadCloser
 	conn      *conn // nil once the exchange has ended
