forward: a request without an ID gets no answer that names one

What callers saw: a caller that sends no request ID could get the late surplus answer to another caller's request.

Cause: the comparison of IDs was left out for requests without one. Every answer carries back the ID of its request, so that the answer to such a request has none.

Tests: plugin/forward TestAnswerToAnotherRequest, "without an ID" (before: the other answer was passed on), TestRequestWithoutID.

--- a/plugin/forward/forward.go
+++ b/plugin/forward/forward.go
@@ -108,11 +108,12 @@
 	return call.Incarnation, nil
 }
 
-// checkRequestID returns an error if the response answers another request.
+// checkRequestID returns an error if the response answers another request. The answer to a request
+// without an ID has none.
 func (f *forwarder) checkRequestID(call *kernel.Call, response *http.Response) error {
 	dialect := &f.process.Dialect
 	answered := response.Header.Get(dialect.RequestID)
-	if !dialect.HasRequestID() || call.RequestID == "" || answered == call.RequestID {
+	if !dialect.HasRequestID() || answered == call.RequestID {
 		return nil
 	}
 	f.process.Log.Emit(event.AnswerMismatch, "backend", f.process.Settings.Backend, "request", call.RequestID, "answered", answered)
--- a/plugin/forward/surplus_test.go
+++ b/plugin/forward/surplus_test.go
@@ -20,8 +20,10 @@
 	"github.com/loomcleat/loomcleat/wire"
 )
 
+// displacedHeader marks a request before whose answer the back end sends the one before once more.
+const displacedHeader = "Displaced"
+
 // startSurplusBackEnd starts a back end that answers each request with an empty body and its ID.
-// Before the answer to the request "victim", it sends the answer to the one before once more.
 func startSurplusBackEnd(t *testing.T) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -48,7 +50,7 @@
 			return
 		}
 		id := request.Header.Get("Request-Id")
-		if id == "victim" {
+		if request.Header.Get(displacedHeader) != "" {
 			writeEmptyAnswer(conn, before)
 			time.Sleep(surplusLead)
 		}
@@ -79,10 +81,13 @@
 	}
 }
 
-// sendWithID sends a request with an ID and reads the answer.
-func sendWithID(t *testing.T, f *forwarder, id string) error {
+// sendRequest sends a request with an ID, "" for none, and reads the answer.
+func sendRequest(t *testing.T, f *forwarder, id string, displaced bool) error {
 	t.Helper()
 	header := http.Header{}
+	if displaced {
+		header.Set(displacedHeader, "1")
+	}
 	if id != "" {
 		header.Set("Request-Id", id)
 	}
@@ -104,14 +109,25 @@
 	return err
 }
 
-// TestMismatchedAnswerClosesConnection guards against using a connection again after it has carried
-// an answer to another request: each later request on it would get the answer to the one before.
-func TestMismatchedAnswerClosesConnection(t *testing.T) {
+// TestAnswerToAnotherRequest guards against passing on an answer to another request, also to one
+// without an ID, and against using the connection again: each later request on it would get the
+// answer to the one before.
+func TestAnswerToAnotherRequest(t *testing.T) {
+	for name, displaced := range map[string]string{"with an ID": "second", "without an ID": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newIdentifyingForwarder(startSurplusBackEnd(t))
+			is.NoErr(sendRequest(t, f, "first", false))
+			err := sendRequest(t, f, displaced, true)
+			is.Equal(result.From(err).Code, result.AnswerMismatch)
+			is.True(!result.From(err).NotRun())
+			is.NoErr(sendRequest(t, f, "third", false))
+		})
+	}
+}
+
+// TestRequestWithoutID guards against rejecting the answer to a request without an ID.
+func TestRequestWithoutID(t *testing.T) {
 	is := is.New(t)
-	f := newIdentifyingForwarder(startSurplusBackEnd(t))
-	is.NoErr(sendWithID(t, f, "first"))
-	err := sendWithID(t, f, "victim")
-	is.Equal(result.From(err).Code, result.AnswerMismatch)
-	is.True(!result.From(err).NotRun())
-	is.NoErr(sendWithID(t, f, "next"))
+	is.NoErr(sendRequest(t, newIdentifyingForwarder(startSurplusBackEnd(t)), "", false))
 }
