membership: a restarted node learns from its peers which back end has left

What callers would have seen: a node acknowledges that its back end leaves and is killed before anybody has called it; the new process opens the back end again with a heartbeat that is late. The acknowledgement still binds.

Cause: what was acknowledged went with the process. Callers return it with their calls (instance.Memory), but only those who have got an answer since then.

Change: the member record carries the last start that has left (LeftBackEnd). A peer that replies to a Sync adds the records of dead processes at the sender's address that have one; the new process takes it as an announcement that leaves no time for requests (427, leaving-recalled). It announces it in turn, so that it outlives further restarts. Also mended beside it: changes of the rate limit in a process's own record were logged as self-refuted.

Why it is safe: it closes one start by id and time of start; a later start opens (e2e, TestRecallLeft). A recall that is repeated changes nothing. The new field is left out by older processes and skipped by them.

Not covered: a kill within a round of gossip of the acknowledgement (200 ms at the default probe interval), all processes killed at once.

Tests failing before: e2e TestRestartedNodeKeepsAcknowledgedLeaving (no recall), membership TestSuccessorLearnsLeftBackEnd; instance TestRecallLeft.

--- a/e2e/incarnation_test.go
+++ b/e2e/incarnation_test.go
@@ -33,6 +33,35 @@
 	eventually(t, "the draining back end to be closed", func() bool { return node.get("/front/x", "").status == http.StatusServiceUnavailable })
 }
 
+// TestRestartedNodeKeepsAcknowledgedLeaving guards against a node that acknowledges that its back end
+// leaves, is killed before anybody has called it, and opens the back end again after it was started, with a
+// heartbeat that is late.
+func TestRestartedNodeKeepsAcknowledgedLeaving(t *testing.T) {
+	is := is.New(t)
+	backEnd := startDeclaringBackEnds(t, 1)[0]
+	node, entry := backEnd.node, startEntry(t, backEnd)
+	born := time.Now().UnixMilli()
+	is.Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+	is.Equal(node.deregister(born), http.StatusOK)
+	time.Sleep(gossipTime)
+	node.kill()
+	node.restart()
+	eventually(t, "the leaving to be recalled", func() bool { return strings.Contains(node.log.String(), "leaving-recalled") })
+	is.Equal(node.heartbeatOf(born, 101, "ready"), http.StatusOK) // sent before
+	time.Sleep(gossipTime)
+	before := node.runs.Load()
+	for range 10 {
+		is.Equal(entry.get("/front/x", "").status, http.StatusServiceUnavailable)
+	}
+	is.Equal(node.runs.Load(), before)
+
+	is.Equal(node.heartbeatOf(born+5000, 1, "ready"), http.StatusOK) // the back end starts again
+	entry.getUntilServed(t, "/front/x", "")
+}
+
+// gossipTime is enough for a change to reach the peers of a process.
+const gossipTime = time.Second
+
 // TestLateHeartbeatDoesNotReopenLeftBackEnd guards against a node that was just started, acknowledges
 // that its back end leaves, and sends it requests again after a heartbeat from before that is late.
 func TestLateHeartbeatDoesNotReopenLeftBackEnd(t *testing.T) {
--- a/instance/former.go
+++ b/instance/former.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// hasLeft reports whether a start of a back end, or a later one, is known to have announced that it
+// leaves.
+func (f *formerIncarnations) hasLeft(id string, born int64) bool {
+	known, exists := f.byID[id]
+	return exists && known.left && born <= known.born
+}
+
 // hasEnded reports whether a start of a back end is known to have ended or to be leaving. An earlier
 // time of start doesn't show that, since the clock may have been set back.
 func (f *formerIncarnations) hasEnded(id string, born int64) bool {
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -153,6 +153,31 @@
 	})
 }
 
+// TestRecallLeft guards against opening a back end that had announced its stop to the process that ran
+// here before, and against recalls that are repeated and close a later start or hide a later stop.
+func TestRecallLeft(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Config{Service: "s"})
+	is.True(tracker.RecallLeft(start, "a", 10))
+	is.True(!tracker.RecallLeft(start, "a", 10))
+	is.NoErr(tracker.Observe(start, Report{ID: "a", Born: 10, Service: "s", Sequence: 5})) // late
+	is.True(!tracker.State().Open(start))
+
+	is.NoErr(tracker.Observe(start, Report{ID: "a", Born: 20, Service: "s", Sequence: 1}))
+	is.True(!tracker.RecallLeft(start, "a", 10))
+	is.True(tracker.State().Open(start))
+	is.True(tracker.RecallLeft(start, "a", 20))
+	is.True(!tracker.State().Open(start)) // no time is left for requests
+	is.True(!tracker.RecallLeft(start, "a", 20))
+
+	is.NoErr(tracker.Observe(start, Report{ID: "b", Born: 30, Service: "s", Sequence: 1}))
+	is.NoErr(tracker.Leave(start, "b", 30))
+	is.True(!tracker.RecallLeft(start, "a", 10))
+	id, born := tracker.LastLeft()
+	is.Equal(id, "b")
+	is.Equal(born, int64(30))
+}
+
 // TestFormerIncarnationsAreBounded guards against memory that grows with the back ends that leave, and
 // against forgetting the latest of them.
 func TestFormerIncarnationsAreBounded(t *testing.T) {
--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -40,6 +40,8 @@
 	// Time of the last heartbeat of the current incarnation.
 	heardAt time.Time
 	former  formerIncarnations
+	// Last incarnation that was found to be leaving.
+	lastLeft State
 }
 
 // NewTracker returns a Tracker that does not know a back end yet.
@@ -154,18 +156,39 @@
 	t.sequence = 0
 }
 
+// LastLeft returns the id and the time of start of the last incarnation that has announced that it
+// leaves, "" if there was none.
+func (t *Tracker) LastLeft() (id string, born int64) { return t.lastLeft.ID, t.lastLeft.Born }
+
 // Leave processes the announcement of an incarnation that it is about to stop. It may keep
 // serving requests for a while. born is 0 if the announcement doesn't tell it. The incarnation may be
 // unknown, since its heartbeats may arrive later. Leave returns a result.BadRequest error if another
 // start of the same back end seems to be running; such an announcement must not be acknowledged.
 func (t *Tracker) Leave(now time.Time, id string, born int64) error {
+	return t.leaveStart(now, now.Add(t.config.CloseAfter), id, born)
+}
+
+// RecallLeft processes the information that a start had announced its stop to the process that ran
+// here before. It is not known when that was, so that no time is left for requests. It reports
+// whether that was not known.
+func (t *Tracker) RecallLeft(now time.Time, id string, born int64) bool {
+	current := t.state.Leaving && t.state.ID == id && t.state.Born == born
+	if current || t.former.hasLeft(id, born) {
+		return false
+	}
+	return t.leaveStart(now, now, id, born) == nil
+}
+
+// leaveStart processes that a start leaves and takes no more requests from closesAt on.
+func (t *Tracker) leaveStart(now, closesAt time.Time, id string, born int64) error {
 	switch {
 	case id != t.state.ID:
 		t.former.addLeft(now, id, born)
 	case born == 0 || born == t.state.Born:
-		t.leave(now.Add(t.config.CloseAfter))
+		t.leave(closesAt)
+		return nil
 	case t.state.Born == 0:
-		t.leave(now.Add(t.config.CloseAfter))
+		t.leave(closesAt)
 		t.former.addLeft(now, id, born)
 	case born > t.state.Born:
 		t.retire()
@@ -173,6 +196,7 @@
 	default:
 		return t.checkEnded(id, born)
 	}
+	t.lastLeft = State{ID: id, Born: born}
 	return nil
 }
 
@@ -190,7 +214,11 @@
 func (t *Tracker) ObserveLeaving(incarnation string, closesAt time.Time) bool {
 	before := t.state
 	t.state = before.WithLeaving(incarnation, closesAt)
-	return t.state.Leaving && !before.Leaving
+	if !t.state.Leaving || before.Leaving {
+		return false
+	}
+	t.lastLeft = t.state
+	return true
 }
 
 // leave marks the back end as leaving. Leaving is final, so that an acknowledged announcement
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/instance"
+	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/ratelimit"
 	"github.com/loomcleat/loomcleat/wire"
 )
@@ -35,6 +36,9 @@
 	// SetRateLimit announces the rate limit that the back end of this process declares, in
 	// requests per second, nil for none.
 	SetRateLimit(limit *ratelimit.Rate)
+	// SetLeftBackEnd announces the last start of a back end that has announced to this process
+	// that it leaves.
+	SetLeftBackEnd(left membership.BackEndStart)
 	// SetVotes announces the votes of other replicas that this process has in claim groups.
 	SetVotes(votes []string)
 	// SetSeeds replaces the addresses through which this process joins the mesh.
@@ -63,6 +67,9 @@
 	Leave(ctx context.Context, id string, born int64) error
 	// ObserveLeaving reports that an incarnation declared in an answer that it is leaving.
 	ObserveLeaving(incarnation string)
+	// RecallLeft reports that a start of the back end had announced to the process that ran here
+	// before that it leaves. It is called on the control loop.
+	RecallLeft(now time.Time, left membership.BackEndStart)
 	// ObserveReplacement reports that the back end with the id actual refused a request sent to
 	// the incarnation expected.
 	ObserveReplacement(expected, actual string)
--- a/membership/config.go
+++ b/membership/config.go
@@ -66,6 +66,10 @@
 	// OnChange is called for each change of a member's record, with the zero Member
 	// as before for a new member. May be nil.
 	OnChange func(before, after Member)
+
+	// OnLeftBackEnd is called with the LeftBackEnd of another process at the address of this
+	// one, each time that its record is received. May be nil.
+	OnLeftBackEnd func(now time.Time, left BackEndStart)
 }
 
 // GossipsPerProbe is the default number of gossip intervals in a probe interval.
@@ -98,4 +102,7 @@
 	if c.OnChange == nil {
 		c.OnChange = func(Member, Member) {}
 	}
+	if c.OnLeftBackEnd == nil {
+		c.OnLeftBackEnd = func(time.Time, BackEndStart) {}
+	}
 }
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -112,6 +112,17 @@
 	})
 }
 
+// SetLeftBackEnd announces the last start of a back end that has announced that it leaves.
+func (m *Machine) SetLeftBackEnd(left BackEndStart) {
+	if m.self.LeftBackEnd != nil && *m.self.LeftBackEnd == left {
+		return
+	}
+	m.updateSelf(func(self *Member) {
+		self.LeftBackEnd = &left
+		self.Incarnation++
+	})
+}
+
 // SetVotes announces the votes that the caller now holds. See Member.Votes.
 func (m *Machine) SetVotes(votes []string) {
 	if slices.Equal(m.self.Votes, votes) {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -190,3 +190,25 @@
 		is.Equal(len(machine.Members()), size)
 	}
 }
+
+// TestSuccessorLearnsLeftBackEnd guards against a restarted process that doesn't learn from its peers
+// what the process before it had acknowledged to the back end.
+func TestSuccessorLearnsLeftBackEnd(t *testing.T) {
+	is := is.New(t)
+	peer, predecessor := newMachine("a"), newMachine("b")
+	predecessor.SetLeftBackEnd(BackEndStart{ID: "i-1", Born: 10})
+	receiveUpdates(peer, predecessor.Self())
+
+	recalled := []BackEndStart{}
+	successor := New(Config{
+		Self:          Member{ID: "b2", Control: "b:1", Generation: 6},
+		Random:        rand.New(rand.NewPCG(1, 1)),
+		OnLeftBackEnd: func(_ time.Time, left BackEndStart) { recalled = append(recalled, left) },
+	}, startTime)
+	successor.SetSeeds([]string{"a:1"})
+	for _, send := range successor.Tick(startTime) {
+		successor.Replied(startTime, send, peer.Receive(startTime, send.Message))
+	}
+	is.True(len(recalled) > 0)
+	is.Equal(recalled[0], BackEndStart{ID: "i-1", Born: 10})
+}
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -73,13 +73,26 @@
 	return built
 }
 
-// replyToSync replies with the members in the buckets that differ from the sender's.
+// replyToSync replies with the members in the buckets that differ from the sender's, and with
+// what processes before the sender have acknowledged to their back ends.
 func (m *Machine) replyToSync(asked Message) Message {
 	reply := m.message(Sync)
-	reply.Updates = m.membersIn(m.digests.differing(asked.Buckets))
+	reply.Updates = append(m.membersIn(m.digests.differing(asked.Buckets)), m.predecessors(asked.From)...)
 	return reply
 }
 
+// predecessors returns the dead members at the address of a process whose back end had announced
+// that it leaves.
+func (m *Machine) predecessors(process Member) []Member {
+	found := []Member{}
+	for _, known := range m.byControl[process.Control] {
+		if known.Status == Dead && known.ID != process.ID && known.LeftBackEnd != nil {
+			found = append(found, known.Member)
+		}
+	}
+	return found
+}
+
 // pushMissing handles the reply to a Sync, after its updates were merged: it sends back
 // the members in the buckets that still differ.
 func (m *Machine) pushMissing(to string, reply Message) []Send {
--- a/membership/types.go
+++ b/membership/types.go
@@ -53,6 +53,16 @@
 	// RateLimit is how many requests a second the member's back end takes from all processes
 	// together, nil if it has declared no limit.
 	RateLimit *ratelimit.Rate `json:"rl,omitempty"`
+	// LeftBackEnd is the last start of a back end that has announced to the member that it
+	// leaves, nil for none. The next process at the same address learns it from its peers.
+	LeftBackEnd *BackEndStart `json:"lb,omitempty"`
+}
+
+// BackEndStart is one start of a back end.
+type BackEndStart struct {
+	ID string `json:"id"`
+	// Born is when it started, in Unix milliseconds by its clock, 0 if unknown.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Kind is the purpose of a message.
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -9,6 +9,7 @@
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/result"
 )
 
@@ -98,6 +99,15 @@
 	})
 }
 
+func (p *plugin) RecallLeft(now time.Time, left membership.BackEndStart) {
+	p.recordDeclaredLeaving()
+	if !p.tracker.RecallLeft(now, left.ID, left.Born) {
+		return
+	}
+	p.process.Log.Emit(event.LeavingRecalled, "instance", left.ID, "born", left.Born, "current", p.State().Incarnation())
+	p.publish()
+}
+
 func (p *plugin) ObserveReplacement(expected, actual string) {
 	p.process.Loop.Post(func(time.Time) {
 		p.recordDeclaredLeaving()
@@ -150,6 +160,9 @@
 func (p *plugin) announce() {
 	state := p.State()
 	p.process.Mesh.SetState(state.Leaving, state.ID == "" || p.unreachable.Load())
+	if id, born := p.tracker.LastLeft(); id != "" {
+		p.process.Mesh.SetLeftBackEnd(membership.BackEndStart{ID: id, Born: born})
+	}
 }
 
 func (p *plugin) middleware(next kernel.Handler) kernel.Handler {
--- a/plugin/membership/log.go
+++ b/plugin/membership/log.go
@@ -29,8 +29,7 @@
 func (m *mesh) logChange(before, after membership.Member) {
 	switch {
 	case after.ID == m.process.ID:
-		announced := after.Leaving != before.Leaving || after.Down != before.Down || !slices.Equal(after.Votes, before.Votes)
-		if !announced {
+		if !isAnnounced(before, after) {
 			m.process.Log.Emit(event.SelfRefuted, "incarnation", after.Incarnation)
 		}
 	case before.ID == "":
@@ -45,3 +44,9 @@
 		m.process.Log.Emit(event.MemberLeaving, "member", after.ID)
 	}
 }
+
+// isAnnounced reports whether a change of this process's own record is one that it announced.
+func isAnnounced(before, after membership.Member) bool {
+	return after.Leaving != before.Leaving || after.Down != before.Down || after.RateLimit != before.RateLimit ||
+		after.LeftBackEnd != before.LeftBackEnd || !slices.Equal(after.Votes, before.Votes)
+}
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -45,6 +45,7 @@
 		ProbeTimeout:  m.timeout,
 		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		OnChange:      m.logChange,
+		OnLeftBackEnd: m.recallLeftBackEnd,
 	}, clock.Now().Time())
 	m.SetSeeds(process.Settings.Seeds)
 	process.Mesh = m
@@ -100,6 +101,16 @@
 // SetRateLimit implements kernel.Mesh.
 func (m *mesh) SetRateLimit(limit *ratelimit.Rate) { m.stateMachine.SetRateLimit(limit) }
 
+// SetLeftBackEnd implements kernel.Mesh.
+func (m *mesh) SetLeftBackEnd(left membership.BackEndStart) { m.stateMachine.SetLeftBackEnd(left) }
+
+// recallLeftBackEnd passes on what the process that ran here before had acknowledged.
+func (m *mesh) recallLeftBackEnd(now time.Time, left membership.BackEndStart) {
+	if m.process.BackEnd != nil {
+		m.process.BackEnd.RecallLeft(now, left)
+	}
+}
+
 // SetVotes implements kernel.Mesh.
 func (m *mesh) SetVotes(votes []string) { m.stateMachine.SetVotes(votes) }
 
