instance: a late first heartbeat does not undo leaving that its start has declared

What callers would have seen: a back end starts again under its id, declares in its answers that it leaves, and its first heartbeat, which is late, opens it again: the answers had been put down to the start that was known from heartbeats.

Change: the tracker knows when the request was sent whose answer declared leaving. A start that began before that gave that answer itself, as only one process has the address, and it stays closed. `born` and that time are of the same machine's clock; if the time of day was set back between both, the answer is put down to the start before.

Why it is safe: a start after that request opens as before (e2e TestBackEndStartsAgainUnderItsID).

Tests failing before: e2e TestLateFirstHeartbeatDoesNotReopenLeavingBackEnd (200 in place of 503), instance TestLateFirstHeartbeatAfterLeavingAnswer ("its own answer").

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -4,7 +4,8 @@
 // that other machines also count, such as the age of a confirmation or the time left
 // until a caller's deadline, are therefore measured in Instants of this package. Latency
 // and pressure are measured with time.Now, so that a suspension does not look like a slow
-// back end. The time of day is not used for decisions, since it may step.
+// back end. The time of day may step, so that it is only compared with times of
+// day that others report, such as the start of a process.
 //
 // The package relies on the kernel's CLOCK_BOOTTIME; Check reports whether it is
 // available. Tests replace the clock through package clocktest.
--- a/e2e/incarnation_test.go
+++ b/e2e/incarnation_test.go
@@ -84,3 +84,24 @@
 		})
 	}
 }
+
+// TestLateFirstHeartbeatDoesNotReopenLeavingBackEnd guards against a back end that starts again under its
+// id, declares in its answers that it leaves, and is opened again by its first heartbeat, which is late.
+func TestLateFirstHeartbeatDoesNotReopenLeavingBackEnd(t *testing.T) {
+	is := is.New(t)
+	backEnd := startDeclaringBackEnds(t, 1)[0]
+	node := backEnd.node
+	firstStart := time.Now().UnixMilli()
+	secondStart := firstStart + 1
+	is.Equal(node.heartbeatOf(firstStart, 100, "ready"), http.StatusOK)
+	node.getUntilServed(t, "/front/x", "")
+	backEnd.leaving.Store(true)
+	is.Equal(node.get("/front/x", "").status, http.StatusOK)
+	eventually(t, "the leaving back end to be closed", func() bool { return node.get("/front/x", "").status == http.StatusServiceUnavailable })
+	before := node.runs.Load()
+	is.Equal(node.heartbeatOf(secondStart, 1, "ready"), http.StatusOK)
+	for range 10 {
+		is.Equal(node.get("/front/x", "").status, http.StatusServiceUnavailable)
+	}
+	is.Equal(node.runs.Load(), before)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -33,6 +33,17 @@
 	Draining bool
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint64
+	// ArrivedAt is the time of day at which the node got the heartbeat, in Unix milliseconds. The
+	// back end is on the same machine, so that Born is of the same clock.
+	ArrivedAt int64
+}
+
+// LeavingAnswer is an answer with which the back end declared that it is leaving.
+type LeavingAnswer struct {
+	// SentAt is when its request was sent.
+	SentAt time.Time
+	// SentDay is the time of day at SentAt, in Unix milliseconds.
+	SentDay int64
 }
 
 // State is what the node knows of the back end. A returned State does not change.
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -178,6 +178,42 @@
 	is.Equal(born, int64(30))
 }
 
+// TestLateFirstHeartbeatAfterLeavingAnswer guards against opening a start that has declared in an answer
+// that it leaves, when its first heartbeat arrives after that, and against closing one that began later.
+func TestLateFirstHeartbeatAfterLeavingAnswer(t *testing.T) {
+	const day = int64(1790000000000) // time of day at start
+	cases := []struct {
+		name string
+		id   string
+		// Start of the new incarnation, relative to the request whose answer declared leaving.
+		born time.Duration
+		// By how much the time of day is set back after that answer.
+		setBack time.Duration
+		open    bool
+	}{
+		{"its own answer", "a", -time.Millisecond, 0, false},
+		{"answer of the start before", "a", time.Millisecond, 0, true},
+		{"answer of the start before, clock set back", "a", time.Millisecond - time.Hour, time.Hour, true},
+		{"another back end", "b", -time.Millisecond, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := NewTracker(Config{Service: "s"})
+			first := day - 10*time.Hour.Milliseconds()
+			is.NoErr(tracker.Observe(start, Report{ID: "a", Born: first, Service: "s", Sequence: 9, ArrivedAt: day}))
+			sent := start.Add(second)
+			is.True(tracker.ObserveLeaving(tracker.State().Incarnation(), sent))
+			tracker.ObserveLeavingAnswer(LeavingAnswer{SentAt: sent, SentDay: day + 1000})
+			now := start.Add(5 * second)
+			born := day + 1000 + c.born.Milliseconds()
+			is.NoErr(tracker.Observe(now, Report{ID: c.id, Born: born, Service: "s", Sequence: 1, ArrivedAt: day + 5000 - c.setBack.Milliseconds()}))
+			is.Equal(tracker.State().Born, born)
+			is.Equal(tracker.State().Open(now), c.open)
+		})
+	}
+}
+
 // TestFormerIncarnationsAreBounded guards against memory that grows with the back ends that leave, and
 // against forgetting the latest of them.
 func TestFormerIncarnationsAreBounded(t *testing.T) {
--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -40,6 +40,8 @@
 	// Time of the last heartbeat of the current incarnation.
 	heardAt time.Time
 	former  formerIncarnations
+	// Last answer that declared leaving, with the current id.
+	leavingAnswer LeavingAnswer
 	// Last incarnation that was found to be leaving.
 	lastLeft State
 }
@@ -136,17 +138,26 @@
 
 // begin switches to a new incarnation. If its first heartbeat says that it is draining, an earlier one
 // may have said so long ago, perhaps to the process that ran here before, and no time is left for
-// requests.
+// requests. The same holds if it has declared that in an answer already.
 func (t *Tracker) begin(now time.Time, report Report) {
+	declared := report.ID == t.state.ID && t.state.Leaving && t.hasAnswered(now, report)
 	t.retire()
 	t.state = State{ID: report.ID, Born: report.Born}
 	t.sequence = 0
-	if report.Draining {
+	if report.Draining || declared {
 		t.leave(now)
 	}
 	t.update(now, report)
 }
 
+// hasAnswered reports whether the start of a heartbeat ran already when the request was sent whose answer
+// declared leaving. That answer is then its own, since the start before had ended. If the time of day was
+// set back between both, it is not taken to be.
+func (t *Tracker) hasAnswered(now time.Time, report Report) bool {
+	elapsed := now.Sub(t.leavingAnswer.SentAt).Milliseconds()
+	return report.Born <= min(t.leavingAnswer.SentDay, report.ArrivedAt-elapsed)
+}
+
 // retire ends the current incarnation. None is known then.
 func (t *Tracker) retire() {
 	if t.state.ID != "" {
@@ -209,6 +220,10 @@
 	return result.New(result.BadRequest, "the back end %q started at %d seems to run, not the one started at %d", id, t.state.Born, born)
 }
 
+// ObserveLeavingAnswer processes an answer with which the running incarnation declared that it is
+// leaving.
+func (t *Tracker) ObserveLeavingAnswer(answer LeavingAnswer) { t.leavingAnswer = answer }
+
 // ObserveLeaving processes the information that an incarnation is leaving and takes no more requests from
 // closesAt on. It reports whether that was not known.
 func (t *Tracker) ObserveLeaving(incarnation string, closesAt time.Time) bool {
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -65,8 +65,9 @@
 	// in Unix milliseconds, 0 if unknown. When it returns nil, that incarnation gets no requests
 	// after the drain time, also if it was not known.
 	Leave(ctx context.Context, id string, born int64) error
-	// ObserveLeaving reports that an incarnation declared in an answer that it is leaving.
-	ObserveLeaving(incarnation string)
+	// ObserveLeaving reports that an incarnation declared that it is leaving, in the answer to a
+	// request sent at sentAt.
+	ObserveLeaving(incarnation string, sentAt time.Time)
 	// RecallLeft reports that a start of the back end had announced to the process that ran here
 	// before that it leaves. It is called on the control loop.
 	RecallLeft(now time.Time, left membership.BackEndStart)
--- a/plugin/forward/declaration.go
+++ b/plugin/forward/declaration.go
@@ -62,7 +62,7 @@
 		return // another incarnation answered
 	}
 	f.recordRateLimit(response.Header, sentAt, incarnation)
-	f.recordLeaving(response.Header, incarnation)
+	f.recordLeaving(response.Header, sentAt, incarnation)
 }
 
 func (f *forwarder) recordRateLimit(header http.Header, sentAt time.Time, incarnation string) {
@@ -100,7 +100,7 @@
 	f.process.Log.Emit(event.RateLimitDeclared, "instance", incarnation, "limited", true, "requests_per_second", float64(*limit), "sent", sent)
 }
 
-func (f *forwarder) recordLeaving(header http.Header, incarnation string) {
+func (f *forwarder) recordLeaving(header http.Header, sentAt time.Time, incarnation string) {
 	if f.process.Dialect.IsLeaving == nil {
 		return
 	}
@@ -108,7 +108,7 @@
 	switch {
 	case f.process.BackEnd != nil:
 		if leaving {
-			f.process.BackEnd.ObserveLeaving(incarnation)
+			f.process.BackEnd.ObserveLeaving(incarnation, sentAt)
 		}
 	case leaving || f.process.Settings.BackendHealthPath == "":
 		f.setDraining(leaving)
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -29,6 +29,8 @@
 	// Time in which requests are still sent to a leaving back end.
 	closeAfter time.Duration
 	state      atomic.Pointer[instance.State]
+	// Last answer that declared leaving, nil if there was none.
+	leavingAnswer atomic.Pointer[instance.LeavingAnswer]
 	// Whether a connection was refused since the last heartbeat.
 	unreachable atomic.Bool
 }
@@ -36,6 +38,7 @@
 func (p *plugin) State() instance.State { return *p.state.Load() }
 
 func (p *plugin) Observe(ctx context.Context, report instance.Report) error {
+	report.ArrivedAt = time.Now().UnixMilli()
 	refused, err := kernel.Query(ctx, p.process.Loop, func(now time.Time) error {
 		p.recordDeclaredLeaving()
 		err := p.tracker.Observe(now, report)
@@ -77,9 +80,14 @@
 	if state := p.State(); state.Leaving {
 		p.tracker.ObserveLeaving(state.Incarnation(), state.ClosesAt)
 	}
+	if answer := p.leavingAnswer.Load(); answer != nil {
+		p.tracker.ObserveLeavingAnswer(*answer)
+	}
 }
 
-func (p *plugin) ObserveLeaving(incarnation string) {
+func (p *plugin) ObserveLeaving(incarnation string, sentAt time.Time) {
+	sent := clock.Now().Add(-time.Since(sentAt)).Time()
+	p.leavingAnswer.Store(&instance.LeavingAnswer{SentAt: sent, SentDay: sentAt.UnixMilli()})
 	p.setLeaving(incarnation, clock.Now().Time().Add(p.closeAfter), false)
 }
 
