--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -105,6 +105,14 @@
 		{"a draining one that was replaced sends another heartbeat",
 			[]step{{id: "a", born: 10, sequence: 1}, {id: "a", born: 10, sequence: 2, draining: true}, {id: "b", born: 20, sequence: 1},
 				{id: "b@20", replacement: "c"}, {id: "a", born: 10, sequence: 3}}, second, "", false},
+		{"a back end that came before refuses a request to another, then its heartbeat",
+			[]step{{id: "a", born: 10, sequence: 9}, {id: "b", born: 20, sequence: 1}, {id: "b@20", replacement: "a"}, {id: "a", born: 10, sequence: 9}}, second, "a", true},
+		{"announced stop of an earlier start than a former one, which then refuses a request",
+			[]step{{id: "a", born: 10, sequence: 1}, {id: "b", born: 20, sequence: 1}, {id: "a", born: 5, leave: true},
+				{id: "b@20", replacement: "a"}, {id: "a", born: 5, sequence: 1}}, second, "", false},
+		{"late draining heartbeat of a back end that came before, which then refuses a request",
+			[]step{{id: "a", born: 10, sequence: 5}, {id: "b", born: 20, sequence: 1}, {id: "a", born: 10, sequence: 4, draining: true},
+				{id: "b@20", replacement: "a"}, {id: "a", born: 10, sequence: 6}}, second, "", false},
 		{"draining heartbeat after a newer one", []step{{id: "a", born: 10, sequence: 5}, {id: "a", born: 10, sequence: 4, draining: true}}, second, "a", false},
 		{"first heartbeat says draining", []step{{id: "a", born: 10, sequence: 5, draining: true}}, 0, "a", false},
 		{"late heartbeat of a back end that came before",
@@ -219,13 +227,15 @@
 func TestFormerIncarnationsAreBounded(t *testing.T) {
 	is := is.New(t)
 	tracker := NewTracker(Config{Service: "s"})
-	for number := range 3 * maximumFormer {
+	const count = 2*maximumFormer + 10
+	for number := range count {
 		is.NoErr(tracker.Leave(start, strconv.Itoa(number), 10))
 	}
 	is.Equal(len(tracker.former.byID), maximumFormer)
-	latest := strconv.Itoa(3*maximumFormer - maximumFormer)
-	is.NoErr(tracker.Observe(start, Report{ID: latest, Born: 10, Service: "s", Sequence: 1}))
-	is.Equal(tracker.State().ID, "")
+	for number := count - maximumFormer; number < count; number++ {
+		is.NoErr(tracker.Observe(start, Report{ID: strconv.Itoa(number), Born: 10, Service: "s", Sequence: 1}))
+		is.Equal(tracker.State().ID, "")
+	}
 }
 
 func TestOtherBackEndsAreRejected(t *testing.T) {
--- a/plugin/forward/surplus_test.go
+++ b/plugin/forward/surplus_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,6 +128,31 @@
 	}
 }
 
+// TestRefusalKeepsConnection guards against a new connection for each request that a full back end
+// refuses.
+func TestRefusalKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	connections := atomic.Int64{}
+	backEnd := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	backEnd.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	backEnd.Start()
+	defer backEnd.Close()
+	f := newIdentifyingForwarder(backEnd.Listener.Addr().String())
+	f.process.Dialect.NotRun = "Not-Run"
+	for range 3 {
+		is.Equal(result.From(sendRequest(t, f, "id", false)).Code, result.BackendRefused)
+	}
+	is.Equal(connections.Load(), int64(1))
+}
+
 // TestRequestWithoutID guards against rejecting the answer to a request without an ID.
 func TestRequestWithoutID(t *testing.T) {
 	is := is.New(t)
