soak: late heartbeats, back ends that deregister first, and refusals that are sent twice

Three new faults; payments may be sent to a second back end now (max_attempts 2), so that a wrong "not run" would show.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,9 +51,12 @@
 	{"edit", false, func(f *fleet, _ *node, _ time.Duration) { f.edit() }},
 	{"crash-backend", true, crashBackend},
 	{"drain-backend", false, drainBackend},
+	{"deregister-backend", false, deregisterBackend},
+	{"late-heartbeat", true, deregisterWithLateHeartbeat},
 	{"leave-by-answers", false, leaveByAnswers},
 	{"backend-restarted", true, restartUnderID},
 	{"rate-limit", false, limitBackend},
+	{"surplus-refusals", true, sendSurplusRefusals},
 	{"store-restored", true, restoreStore},
 	{"foreign-entries", false, writeForeignEntries},
 }
@@ -143,6 +146,29 @@
 	f.restartBackend(n)
 }
 
+func deregisterBackend(f *fleet, n *node, _ time.Duration) {
+	n.backend.Deregister(2 * drainTime)
+	f.restartBackend(n)
+}
+
+// deregisterWithLateHeartbeat makes the back end deregister at a node that was just started, while
+// heartbeats are on their way to it.
+func deregisterWithLateHeartbeat(f *fleet, n *node, duration time.Duration) {
+	n.backend.DelayHeartbeats(duration)
+	time.Sleep(heartbeatInterval)
+	n.kill()
+	f.restartNode(n)
+	time.Sleep(duration / 2)
+	deregisterBackend(f, n, duration)
+}
+
+// sendSurplusRefusals makes the back end refuse requests, and send each refusal once more, late.
+func sendSurplusRefusals(_ *fleet, n *node, duration time.Duration) {
+	n.backend.SetShedding(true)
+	time.Sleep(duration)
+	n.backend.SetShedding(false)
+}
+
 func leaveByAnswers(f *fleet, n *node, _ time.Duration) {
 	n.backend.LeaveByAnswers(2 * drainTime)
 	f.restartBackend(n)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -32,7 +32,7 @@
 		routes = append(routes, fmt.Sprintf(
 			`{"name":%q,"path_prefix":"/%s/","type":"safe","timeout":"3s","target_latency":"500ms","priority":1,"service":%q,"max_attempts":2}`, service, service, service))
 	}
-	routes = append(routes, `{"name":"pay","path_prefix":"/pay/","type":"unsafe","timeout":"3s","target_latency":"500ms","priority":0,"service":"middle","max_attempts":1}`)
+	routes = append(routes, `{"name":"pay","path_prefix":"/pay/","type":"unsafe","timeout":"3s","target_latency":"500ms","priority":0,"service":"middle","max_attempts":2}`)
 	return fmt.Appendf(nil, `{"version":%d,"hosts":[{"host":%q,"paths":[%s]}]}`, version, host, strings.Join(routes, ","))
 }
 
--- a/internal/standin/platformbackend/backend.go
+++ b/internal/standin/platformbackend/backend.go
@@ -74,6 +74,11 @@
 	rateLimit   float64 // Requests per second, 0 for no limit.
 	sequence    int
 	stopped     bool
+	// Heartbeats arrive so much later than they are sent.
+	heartbeatDelay time.Duration
+	// The incarnation has deregistered and sends no more heartbeats.
+	deregistered bool
+	shedding     shedding
 }
 
 // leavingState tells whether answers declare that the incarnation is leaving.
@@ -115,6 +120,7 @@
 	b.id, b.incarnation, b.server = id, incarnation, server
 	b.born = max(time.Now().UnixMilli(), b.born+1)
 	b.keepsID, b.draining, b.leaving, b.rateLimit, b.sequence = false, false, staying, 0, 0
+	b.heartbeatDelay, b.deregistered = 0, false
 	go b.sendHeartbeats(incarnation)
 	return nil
 }
@@ -134,6 +140,13 @@
 	b.rateLimit = limit
 }
 
+// DelayHeartbeats makes the heartbeats that the current incarnation sends from now on arrive late.
+func (b *Backend) DelayHeartbeats(delay time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.heartbeatDelay = delay
+}
+
 // Incarnation returns the name of the current or last incarnation.
 func (b *Backend) Incarnation() string {
 	b.mutex.Lock()
@@ -175,6 +188,22 @@
 	b.end(server, grace)
 }
 
+// Deregister stops the incarnation gracefully without a heartbeat that says so: it deregisters first,
+// keeps serving for a grace period and shuts down.
+func (b *Backend) Deregister(grace time.Duration) {
+	b.mutex.Lock()
+	server, incarnation := b.server, b.incarnation
+	b.deregistered = true
+	b.mutex.Unlock()
+	if server == nil {
+		return
+	}
+	if b.deregister() {
+		b.config.Observer.DrainAcknowledged(incarnation)
+	}
+	b.shutDown(server, grace)
+}
+
 // LeaveByAnswers is Drain for an incarnation that declares in its answers only that it is leaving.
 func (b *Backend) LeaveByAnswers(grace time.Duration) {
 	b.mutex.Lock()
@@ -186,21 +215,30 @@
 	}
 }
 
-// end ends an incarnation after a grace period.
+// end deregisters and ends an incarnation after a grace period.
 func (b *Backend) end(server *http.Server, grace time.Duration) {
 	time.Sleep(grace)
 	b.deregister()
+	b.shutDown(server, 0)
+}
+
+// shutDown ends an incarnation after a grace period.
+func (b *Backend) shutDown(server *http.Server, grace time.Duration) {
+	time.Sleep(grace)
 	b.mutex.Lock()
 	if b.server == server {
 		b.server = nil
 	}
 	b.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	ctx, cancel := context.WithTimeout(context.Background(), shutDownTime)
 	defer cancel()
 	_ = server.Shutdown(ctx)
 	_ = server.Close()
 }
 
+// shutDownTime is how long an incarnation that ends waits for the requests in flight.
+const shutDownTime = 4 * time.Second
+
 // Stop stops the stub; it can't be started again.
 func (b *Backend) Stop() {
 	b.mutex.Lock()
--- a/internal/standin/platformbackend/heartbeat.go
+++ b/internal/standin/platformbackend/heartbeat.go
@@ -23,7 +23,7 @@
 func (b *Backend) isRunning(incarnation string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.server != nil && b.incarnation == incarnation
+	return b.server != nil && b.incarnation == incarnation && !b.deregistered
 }
 
 // heartbeat is the body of a heartbeat.
@@ -47,7 +47,8 @@
 	Cold     string `json:"cold_remaining"`
 }
 
-// sendHeartbeat sends a heartbeat and reports whether the node acknowledged it.
+// sendHeartbeat sends a heartbeat and reports whether the node acknowledged it. One that is late is not
+// waited for and counts as not acknowledged.
 func (b *Backend) sendHeartbeat(incarnation string) bool {
 	b.mutex.Lock()
 	if b.incarnation != incarnation {
@@ -59,7 +60,7 @@
 	if b.draining {
 		state = "draining"
 	}
-	id := b.id
+	id, delay := b.id, b.heartbeatDelay
 	body, err := json.Marshal(heartbeat{
 		Born:    b.born,
 		Address: b.config.Address,
@@ -67,14 +68,22 @@
 		Status:  heartbeatStatus{State: state, Sequence: b.sequence, Cold: "0ms"},
 	})
 	b.mutex.Unlock()
-	return err == nil && b.callNode(http.MethodPut, id, string(body))
+	if err != nil {
+		return false
+	}
+	if delay > 0 {
+		time.AfterFunc(delay, func() { b.callNode(http.MethodPut, id, string(body)) })
+		return false
+	}
+	return b.callNode(http.MethodPut, id, string(body))
 }
 
-func (b *Backend) deregister() {
+// deregister announces that the incarnation leaves and reports whether the node acknowledged that.
+func (b *Backend) deregister() bool {
 	b.mutex.Lock()
 	id, born := b.id, b.born
 	b.mutex.Unlock()
-	b.callNode(http.MethodDelete, id, fmt.Sprintf(`{"born":%d}`, born))
+	return b.callNode(http.MethodDelete, id, fmt.Sprintf(`{"born":%d}`, born))
 }
 
 // SendForeign sends a message of another writer to the node in place of a heartbeat and returns the HTTP
--- a/internal/standin/platformbackend/serve.go
+++ b/internal/standin/platformbackend/serve.go
@@ -23,6 +23,10 @@
 		return
 	}
 	b.config.Observer.Arrived(incarnation)
+	if b.shedding.refuses(requestID) {
+		refuseTwice(w, r, requestID)
+		return
+	}
 	release, ok := b.slots.Take(r.Context())
 	if !ok {
 		w.Header().Set(dialect.NotRun, "1")
--- a/internal/standin/serving/serving.go
+++ b/internal/standin/serving/serving.go
@@ -56,11 +56,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting a back end: %w", err)
 	}
-	server := &http.Server{Addr: listener.Addr().String(), Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Addr: listener.Addr().String(), Handler: handler, ReadHeaderTimeout: headerTimeout, ConnContext: withConn}
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
 
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Conn returns the connection of a request. A stub that sends wrong bytes writes to it directly.
+func Conn(r *http.Request) net.Conn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	return conn
+}
+
 // NewClient returns a client for the calls of a back end.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
