--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -40,9 +40,9 @@
 	// Time of the last heartbeat of the current incarnation.
 	heardAt time.Time
 	former  formerIncarnations
-	// Last answer that declared leaving, with the current id.
+	// Last answer with which a back end declared that it is leaving.
 	leavingAnswer LeavingAnswer
-	// Last incarnation that was found to be leaving.
+	// Id and time of start of the last incarnation that was found to be leaving.
 	lastLeft State
 }
 
--- a/transport/exchange/client.go
+++ b/transport/exchange/client.go
@@ -61,11 +61,14 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 // Do sends a request to an address and returns the response, whose body the caller
-// must close. The connection is used again only if the body, also an empty one, was read to
-// its end before, which shows that the caller takes the response for that of its request. If ctx ends before the body has been read to its end, the connection
+// must close. If ctx ends before the body has been read to its end, the connection
 // is closed, so the server can detect that the client no longer waits. Errors are
 // of type *Error.
 //
+// The connection is used again only if the body, also an empty one, has been read to
+// its end. A caller that closes it unread rejects the response, for example as one to
+// another request.
+//
 // Body and ContentLength of the request must be set as for http.Request.Write, and
 // GetBody if the body can be opened again.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request) (*http.Response, error) {
