store contract: calls to a slow service end by the adapter's own timeout; two leftovers in tests

MaximumCallTime was set by both adapters' tests and read by nothing. The contract now checks what it stood for: the calls end before the caller's context does. A line of TestLeavingBackEndGetsNoNewRequests had no effect.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -168,7 +168,6 @@
 			c.writeSettings(fastSettings + "backend_health_path: " + backend.HealthPath + "\n")
 			first, second := c.addNode("back"), c.addNode("back")
 			gateway := c.addGateway()
-			c.settingsFile = "" // no settings file for members added later
 			c.waitReady()
 			leaving.leave(c, first)
 			eventually(t, "the gateway to see the node as leaving or down", func() bool {
--- a/store/storetest/contract.go
+++ b/store/storetest/contract.go
@@ -33,8 +33,6 @@
 	Store store.Store
 	// SetFault sets the service's failure mode.
 	SetFault func(Fault)
-	// MaximumCallTime is the maximum duration of a call while the service is Slow.
-	MaximumCallTime time.Duration
 }
 
 // Run checks that adapters made by newSubject fulfil the contract.
@@ -97,6 +95,7 @@
 	is.Equal(wrote, err == nil)                 // a write that returns an error does not report success
 	_, err = s.Store.Get(ctx, "contract/key")
 	is.Equal(codeOf(err), c.readCode)
+	is.NoErr(ctx.Err()) // the adapter's own timeout ended the calls
 	s.SetFault(Healthy)
 	entry, err := s.Store.Get(ctx, "contract/key")
 	is.NoErr(err)
