Test back ends: one way to begin leaving; runs are derived from arrivals

Cause: three ways to leave in platformbackend each took the server, the name and the lock in the same way, and shutDown slept for a time that one of its two callers gave as 0. e2e's shedding back end counted runs beside arrivals and refusals. Change: beginLeaving; the callers sleep; runs are the arrivals less the refusal. No behaviour, bound or assertion changed.

--- a/e2e/surplus_test.go
+++ b/e2e/surplus_test.go
@@ -32,8 +32,7 @@
 type sheddingBackEnd struct {
 	mutex    sync.Mutex
 	arrivals map[string]int
-	runs     map[string]int
-	// Requests that were refused.
+	// Requests that were refused, each once.
 	refused map[string]bool
 }
 
@@ -42,7 +41,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
-	b = &sheddingBackEnd{arrivals: map[string]int{}, runs: map[string]int{}, refused: map[string]bool{}}
+	b = &sheddingBackEnd{arrivals: map[string]int{}, refused: map[string]bool{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -84,19 +83,22 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.arrivals[id]++
-	if b.arrivals[id] == 1 && len(b.arrivals)%shedEvery == 0 {
+	refused = b.arrivals[id] == 1 && len(b.arrivals)%shedEvery == 0
+	if refused {
 		b.refused[id] = true
-		return true
 	}
-	b.runs[id]++
-	return false
+	return refused
 }
 
 // outcome returns how often a request has run and whether it was refused before.
 func (b *sheddingBackEnd) outcome(id string) (runs int, refused bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.runs[id], b.refused[id]
+	runs, refused = b.arrivals[id], b.refused[id]
+	if refused {
+		runs--
+	}
+	return runs, refused
 }
 
 // startOrders starts a back end that sheds, its node, and a route whose requests may not run
--- a/internal/standin/platformbackend/backend.go
+++ b/internal/standin/platformbackend/backend.go
@@ -175,56 +175,53 @@
 // Drain stops the incarnation gracefully: it reports draining to the node, keeps serving for
 // a grace period, deregisters and shuts down.
 func (b *Backend) Drain(grace time.Duration) {
-	b.mutex.Lock()
-	server, incarnation := b.server, b.incarnation
-	b.draining = true
-	b.mutex.Unlock()
+	server, incarnation := b.beginLeaving(func() { b.draining = true })
 	if server == nil {
 		return
 	}
 	if b.sendHeartbeat(incarnation) {
 		b.config.Observer.DrainAcknowledged(incarnation)
 	}
-	b.end(server, grace)
+	time.Sleep(grace)
+	b.deregister()
+	b.shutDown(server)
 }
 
 // Deregister stops the incarnation gracefully without a heartbeat that says so: it deregisters first,
 // keeps serving for a grace period and shuts down.
 func (b *Backend) Deregister(grace time.Duration) {
-	b.mutex.Lock()
-	server, incarnation := b.server, b.incarnation
-	b.deregistered = true
-	b.mutex.Unlock()
+	server, incarnation := b.beginLeaving(func() { b.deregistered = true })
 	if server == nil {
 		return
 	}
 	if b.deregister() {
 		b.config.Observer.DrainAcknowledged(incarnation)
 	}
-	b.shutDown(server, grace)
+	time.Sleep(grace)
+	b.shutDown(server)
 }
 
 // LeaveByAnswers is Drain for an incarnation that declares in its answers only that it is leaving.
 func (b *Backend) LeaveByAnswers(grace time.Duration) {
-	b.mutex.Lock()
-	server := b.server
-	b.leaving = leavingUndeclared
-	b.mutex.Unlock()
-	if server != nil {
-		b.end(server, grace)
+	server, _ := b.beginLeaving(func() { b.leaving = leavingUndeclared })
+	if server == nil {
+		return
 	}
-}
-
-// end deregisters and ends an incarnation after a grace period.
-func (b *Backend) end(server *http.Server, grace time.Duration) {
 	time.Sleep(grace)
 	b.deregister()
-	b.shutDown(server, 0)
+	b.shutDown(server)
 }
 
-// shutDown ends an incarnation after a grace period.
-func (b *Backend) shutDown(server *http.Server, grace time.Duration) {
-	time.Sleep(grace)
+// beginLeaving marks the incarnation as leaving and returns its server, nil if none runs, and its name.
+func (b *Backend) beginLeaving(mark func()) (server *http.Server, incarnation string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	mark()
+	return b.server, b.incarnation
+}
+
+// shutDown ends an incarnation.
+func (b *Backend) shutDown(server *http.Server) {
 	b.mutex.Lock()
 	if b.server == server {
 		b.server = nil
