kernel, instance: one body for the two ways to send and for the two messages of a back end

Cause: SendOnNewConnection repeated Send but for one call; Observe and Leave each ran, published and returned a change of the tracker. Change: Transmitter.send, plugin.apply. Safe: the same calls in the same order, but that a heartbeat now clears "unreachable" just before the tracker sees it and not just after, both in one task of the control loop.

--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -54,16 +54,19 @@
 // Send sends the call to address with the given headers. The caller closes the body of the
 // response. The error is a *result.Error.
 func (t *Transmitter) Send(ctx context.Context, call *Call, address string, header http.Header) (*http.Response, error) {
-	response, err := t.client.Do(ctx, address, requestOf(call, header))
-	if err != nil {
-		return nil, t.classify(ctx, err)
-	}
-	return response, nil
+	return t.send(ctx, call, address, header, t.client.Do)
 }
 
 // SendOnNewConnection is like Send, but no other request was sent on the connection before.
 func (t *Transmitter) SendOnNewConnection(ctx context.Context, call *Call, address string, header http.Header) (*http.Response, error) {
-	response, err := t.client.DoOnNewConnection(ctx, address, requestOf(call, header))
+	return t.send(ctx, call, address, header, t.client.DoOnNewConnection)
+}
+
+// doFunc is a method of exchange.Client that sends a request to an address.
+type doFunc func(ctx context.Context, address string, request *http.Request) (*http.Response, error)
+
+func (t *Transmitter) send(ctx context.Context, call *Call, address string, header http.Header, do doFunc) (*http.Response, error) {
+	response, err := do(ctx, address, requestOf(call, header))
 	if err != nil {
 		return nil, t.classify(ctx, err)
 	}
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -39,12 +39,9 @@
 
 func (p *plugin) Observe(ctx context.Context, report instance.Report) error {
 	report.ArrivedAt = time.Now().UnixMilli()
-	refused, err := kernel.Query(ctx, p.process.Loop, func(now time.Time) error {
-		p.recordDeclaredLeaving()
-		err := p.tracker.Observe(now, report)
+	refused, err := p.apply(ctx, func(now time.Time) error {
 		p.unreachable.Store(false)
-		p.publish()
-		return err
+		return p.tracker.Observe(now, report)
 	})
 	if err != nil {
 		return err
@@ -57,12 +54,7 @@
 
 func (p *plugin) Leave(ctx context.Context, id string, born int64) error {
 	current := p.State().Incarnation()
-	refused, err := kernel.Query(ctx, p.process.Loop, func(now time.Time) error {
-		p.recordDeclaredLeaving()
-		err := p.tracker.Leave(now, id, born)
-		p.publish()
-		return err
-	})
+	refused, err := p.apply(ctx, func(now time.Time) error { return p.tracker.Leave(now, id, born) })
 	if err != nil {
 		return err
 	}
@@ -74,6 +66,17 @@
 	return nil
 }
 
+// apply applies a message of the back end to the tracker, on the control loop, and publishes the result.
+// refused is the tracker's error; err is that of the control loop.
+func (p *plugin) apply(ctx context.Context, message func(now time.Time) error) (refused, err error) {
+	return kernel.Query(ctx, p.process.Loop, func(now time.Time) error {
+		p.recordDeclaredLeaving()
+		refused := message(now)
+		p.publish()
+		return refused
+	})
+}
+
 // recordDeclaredLeaving passes leaving that an answer has declared on to the tracker. The task that
 // does so may have found no room in the queue of the control loop. It runs on the control loop.
 func (p *plugin) recordDeclaredLeaving() {
