configsync: the log tells when and from whom a process learned of a revision

Cause: the log had one line for a revision, when it was in force. Whether the process had heard of it before, whether a fetch from a peer hung, and how old its last confirmation was could not be told apart; the error of a fetch was dropped. Change: document-announced (207) and fetch-failed (208); document-adopted (200) names who announced the revision and how long ago; store-watch-changed (205) tells the age of the last confirmation. Safe: lines only, one for a revision heard of and one for a failed fetch, under the limit of each event.

--- a/event/events.go
+++ b/event/events.go
@@ -34,6 +34,8 @@
 	DocumentOlderSeen Number = 204
 	StoreWatchChanged Number = 205
 	StoreRestored     Number = 206
+	DocumentAnnounced Number = 207
+	FetchFailed       Number = 208
 )
 
 // Events of membership.
@@ -122,8 +124,10 @@
 	{StoreUnreachable, "store-unreachable", "warn", "The key-value store does not answer; the last policy stays in force and the read is retried."},
 	{StoreRecovered, "store-recovered", "info", "The key-value store answers again."},
 	{DocumentOlderSeen, "document-older-seen", "warn", "The store or a peer showed an older revision, which was ignored."},
-	{StoreWatchChanged, "store-watch-changed", "info", "This process started or stopped watching the store on behalf of its peers."},
+	{StoreWatchChanged, "store-watch-changed", "info", "This process started or stopped reading the store: on behalf of its peers, or because no peer confirms its policy."},
 	{StoreRestored, "store-restored", "warn", "The key-value store was restored from an older copy: it is read anew, and what this process keeps there is written again."},
+	{DocumentAnnounced, "document-announced", "info", "A peer has a higher revision of a document than this process, which fetches it."},
+	{FetchFailed, "fetch-failed", "warn", "A document could not be fetched from a peer; other peers and the store are asked."},
 	{MemberJoined, "member-joined", "info", "A process joined the mesh."},
 	{MemberSuspected, "member-suspected", "warn", "A member did not answer probes."},
 	{MemberDead, "member-dead", "warn", "A member was declared dead."},
--- a/plugin/configsync/documents.go
+++ b/plugin/configsync/documents.go
@@ -27,6 +27,8 @@
 	subscribers []func(time.Time, []byte)
 	// Revision of current, for other goroutines.
 	revision atomic.Uint64
+	// The first news of a higher revision.
+	announced announcement
 	// Whether the document is being fetched from a peer.
 	pulling atomic.Bool
 }
@@ -107,6 +109,7 @@
 		}
 		d.revision.Store(revision)
 		s.process.Mesh.Announce()
-		s.process.Log.Emit(event.DocumentAdopted, "document", string(d.name), "revision", revision, "from", from)
+		fields := append([]any{"document", string(d.name), "revision", revision, "from", from}, d.announced.sources(revision)...)
+		s.process.Log.Emit(event.DocumentAdopted, fields...)
 	})
 }
--- a/plugin/configsync/peers.go
+++ b/plugin/configsync/peers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
@@ -17,6 +18,7 @@
 // has a newer revision.
 func (s *synchronizer) ObservePeerRevisions(peer string, revisions wire.Revisions, requestedAt time.Time) {
 	for _, d := range s.documents {
+		s.logAnnouncement(peer, d, revisions.Of(d.name))
 		if revisions.Of(d.name) > d.revision.Load() && d.pulling.CompareAndSwap(false, true) {
 			go s.pull(peer, d)
 		}
@@ -37,7 +39,9 @@
 	defer cancel()
 	var fetched wire.Document
 	path := wire.PathDocument + string(d.name)
+	startedAt := clock.Now()
 	if err := s.process.Control.Invoke(ctx, peer, http.MethodGet, path, nil, &fetched); err != nil {
+		s.logFetchFailed(peer, d, startedAt, err)
 		return // The next message from any peer with a newer revision causes another pull.
 	}
 	if _, err := s.offer(ctx, d, fetched.Data, peer); err != nil {
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -80,7 +80,8 @@
 	watching := s.watches()
 	if watching != w.active {
 		w.active = watching
-		s.process.Log.Emit(event.StoreWatchChanged, "document", string(w.document.name), "watching", watching)
+		s.process.Log.Emit(event.StoreWatchChanged, "document", string(w.document.name), "watching", watching,
+			"confirmed_ms_ago", s.ageMilliseconds())
 	}
 	return watching
 }
