internal/virtual: real processes in virtual time; four tests of a late configuration that fail

Cause: bounds of time could be tested with real time only, where they depend on the machine's load, or on the decision packages alone. Change: package internal/virtual runs real nodes, the client of the platform's store and its stub inside a bubble of testing/synctest, over a network in memory whose hosts a test silences. kernel.Options takes the function that binds addresses, platform.Config the one that dials; both default to what was there. Safe: no decision changes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,15 +32,12 @@
 
 // Open creates a Process with the adapters that its settings name.
 func Open(s settings.Settings, log *event.Logger) (*kernel.Process, error) {
-	return open(kernel.Options{Settings: s, Log: log})
+	return OpenWith(kernel.Options{Settings: s, Log: log})
 }
 
-// OpenWithDial creates a Process that opens connections to other processes with dial.
-func OpenWithDial(s settings.Settings, log *event.Logger, dial kernel.DialFunc) (*kernel.Process, error) {
-	return open(kernel.Options{Settings: s, Log: log, Dial: dial})
-}
-
-func open(options kernel.Options) (*kernel.Process, error) {
+// OpenWith creates a Process with the adapters that its settings name and the other options, such as
+// the network to use.
+func OpenWith(options kernel.Options) (*kernel.Process, error) {
 	s := options.Settings
 	if s.StoreAPI == settings.StorePlatform {
 		usePlatform(&options)
@@ -57,7 +54,7 @@
 
 // usePlatform sets the adapters for the users' platform.
 func usePlatform(options *kernel.Options) {
-	client := platform.NewClient(platform.Config{Address: options.Settings.Store})
+	client := platform.NewClient(platform.Config{Address: options.Settings.Store, Dial: options.Dial})
 	options.Store = client
 	options.Machines = client
 	options.Registry = client
--- a/internal/lab/mesh.go
+++ b/internal/lab/mesh.go
@@ -144,7 +144,7 @@
 	if m.config.Dial != nil {
 		dial = m.config.Dial(s.ID)
 	}
-	process, err := daemon.OpenWithDial(s, m.config.Log.With("process", s.ID), dial)
+	process, err := daemon.OpenWith(kernel.Options{Settings: s, Log: m.config.Log.With("process", s.ID), Dial: dial})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/virtual/policy_test.go
@@ -0,0 +1,294 @@
+package virtual
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/spread"
+)
+
+// policyBound is the time within which a policy that the store has acknowledged must be in force in
+// each process that nothing disturbs.
+const policyBound = 2 * time.Second
+
+// settleTime is when a mesh has chosen the processes that watch the store.
+const settleTime = 12 * time.Second
+
+const testHost = "shop.example"
+
+// putRoutes writes a configuration with one route for each version up to the given one.
+func putRoutes(m *Mesh, version int) {
+	var paths bytes.Buffer
+	for i := 1; i <= version; i++ {
+		if i > 1 {
+			paths.WriteByte(',')
+		}
+		fmt.Fprintf(&paths, `{"name":"route-%d","path_prefix":"/route-%d/","type":"safe","timeout":"3s","priority":1,"service":"service","max_attempts":2}`, i, i)
+	}
+	m.Store.PutConfiguration(fmt.Appendf(nil, `{"version":%d,"hosts":[{"host":%q,"paths":[%s]}]}`, version, testHost, paths.Bytes()))
+}
+
+// watchers returns the nodes that watch the store, as the first node sees the mesh.
+func watchers(m *Mesh) []*Node {
+	ids := spread.Watchers(kernel.LiveIDs(*m.Nodes[0].Members.Load()), m.Nodes[0].Settings.StoreWatches)
+	chosen := []*Node{}
+	for _, id := range ids {
+		for _, node := range m.Nodes {
+			if node.ID == id {
+				chosen = append(chosen, node)
+			}
+		}
+	}
+	return chosen
+}
+
+func hosts(nodes []*Node) []string {
+	list := []string{}
+	for _, node := range nodes {
+		list = append(list, node.Host)
+	}
+	return list
+}
+
+// without returns the nodes of a mesh that are not among the given ones.
+func without(m *Mesh, excluded []*Node) []*Node {
+	rest := []*Node{}
+	for _, node := range m.Nodes {
+		found := false
+		for _, other := range excluded {
+			found = found || other == node
+		}
+		if !found {
+			rest = append(rest, node)
+		}
+	}
+	return rest
+}
+
+// writes are the configurations that a test has written, by time.
+type writes struct {
+	mesh *Mesh
+	at   map[uint64]time.Time
+	last uint64
+}
+
+func newWrites(m *Mesh) *writes { return &writes{mesh: m, at: map[uint64]time.Time{}} }
+
+// put writes the next version.
+func (w *writes) put() {
+	w.last++
+	putRoutes(w.mesh, int(w.last))
+	w.at[w.last] = time.Now()
+}
+
+// overdue returns the lowest version that a process lacks later than the bound after its write, 0 for
+// none.
+func (w *writes) overdue(node *Node) uint64 {
+	held := node.Documents.Revisions().Policy
+	if held < w.last && time.Since(w.at[held+1]) > policyBound {
+		return held + 1
+	}
+	return 0
+}
+
+// pollInterval is the time between two looks at all processes.
+const pollInterval = 5 * time.Millisecond
+
+// check looks at processes for a time. It returns the first one that lacks a version later than the
+// bound after its write.
+func (w *writes) check(nodes []*Node, duration time.Duration) error {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(pollInterval) {
+		for _, node := range nodes {
+			if version := w.overdue(node); version > 0 {
+				return fmt.Errorf("%s lacks version %d, %s after it was written", node.ID, version, time.Since(w.at[version]))
+			}
+		}
+	}
+	return nil
+}
+
+// TestPolicyInForceAlthoughWatchersAreSilent guards against a process that goes on with an old
+// policy because all processes that watch the store are frozen, cut off or without power.
+func TestPolicyInForceAlthoughWatchersAreSilent(t *testing.T) {
+	cases := []struct {
+		size int
+		step time.Duration // between the times for which the watchers have been silent before the change
+	}{{8, 200 * time.Millisecond}, {196, 900 * time.Millisecond}}
+	for _, c := range cases {
+		for before := time.Duration(0); before < policyBound; before += c.step {
+			t.Run(fmt.Sprintf("%d processes, silent for %s", c.size, before), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					mesh := Start(t, Config{Nodes: c.size})
+					defer mesh.Close()
+					written := newWrites(mesh)
+					written.put()
+					time.Sleep(settleTime)
+					silent := watchers(mesh)
+					mesh.Silence(hosts(silent)...)
+					time.Sleep(before)
+					written.put()
+					is.New(t).NoErr(written.check(without(mesh, silent), 2*policyBound))
+				})
+			})
+		}
+	}
+}
+
+// silenceSeeds is the number of histories of TestPolicyInForceWhileOthersAreSilent.
+const silenceSeeds = 60
+
+// TestPolicyInForceWhileOthersAreSilent guards against a process that waits for another one, while
+// changes follow each other and any of the others fall silent at any moment.
+func TestPolicyInForceWhileOthersAreSilent(t *testing.T) {
+	for seed := range uint64(silenceSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 5))
+				mesh := Start(t, Config{Nodes: 8})
+				defer mesh.Close()
+				written := newWrites(mesh)
+				written.put()
+				time.Sleep(settleTime + rand.N(time.Second))
+				silent := []*Node{}
+				for _, i := range random.Perm(len(mesh.Nodes))[:1+random.IntN(len(mesh.Nodes)-2)] {
+					silent = append(silent, mesh.Nodes[i])
+					time.AfterFunc(time.Duration(random.Int64N(int64(time.Second))), func() { mesh.Silence(mesh.Nodes[i].Host) })
+				}
+				for end := time.Now().Add(time.Second); time.Now().Before(end); {
+					written.put()
+					time.Sleep(60 * time.Millisecond)
+				}
+				is.New(t).NoErr(written.check(without(mesh, silent), 2*policyBound))
+			})
+		})
+	}
+}
+
+// announcementHook calls a function when a process learns of a revision, with the peer that it
+// learned it from.
+type announcementHook struct {
+	onAnnounced func(node int, by string)
+}
+
+// of returns the log output of a node.
+func (h *announcementHook) of(node int) io.Writer { return nodeLog{hook: h, node: node} }
+
+type nodeLog struct {
+	hook *announcementHook
+	node int
+}
+
+// Write implements io.Writer.
+func (l nodeLog) Write(line []byte) (int, error) {
+	var read struct {
+		Event event.Number `json:"event"`
+		By    string       `json:"by"`
+	}
+	if json.Unmarshal(line, &read) == nil && read.Event == event.DocumentAnnounced && l.hook.onAnnounced != nil {
+		l.hook.onAnnounced(l.node, read.By)
+	}
+	return len(line), nil
+}
+
+// connectionTime is less than the time for which a process keeps an idle connection to a peer open.
+const connectionTime = 250 * time.Millisecond
+
+// nodesAt returns the nodes at a host.
+func nodesAt(m *Mesh, host string) []*Node {
+	found := []*Node{}
+	for _, node := range m.Nodes {
+		if node.Host == host {
+			found = append(found, node)
+		}
+	}
+	return found
+}
+
+// TestPolicyInForceAlthoughAnnouncerFallsSilent guards against a process that waits for one peer,
+// which fell silent after it had announced a revision, while others hold that revision too. The
+// connection to that peer is open, so that the silence shows by a timeout only.
+func TestPolicyInForceAlthoughAnnouncerFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hook := &announcementHook{}
+		mesh := Start(t, Config{Nodes: 8, Log: func(node int) *event.Logger {
+			return event.NewLogger(event.Options{Output: hook.of(node), Level: "info", JSON: true})
+		}})
+		defer mesh.Close()
+		written := newWrites(mesh)
+		written.put()
+		time.Sleep(settleTime)
+		rounds, silent := 0, []*Node{}
+		lastFetch := map[[2]string]time.Time{}
+		hook.onAnnounced = func(node int, by string) {
+			host, _, err := net.SplitHostPort(by)
+			is.NoErr(err)
+			pair := [2]string{mesh.Nodes[node].Host, host}
+			connected := time.Since(lastFetch[pair]) < connectionTime
+			lastFetch[pair] = time.Now()
+			if len(silent) == 0 && connected {
+				mesh.Silence(host)
+				silent = nodesAt(mesh, host)
+			}
+		}
+		for end := time.Now().Add(3 * time.Minute); time.Now().Before(end); {
+			for len(silent) == 0 {
+				written.put()
+				time.Sleep(60 * time.Millisecond)
+			}
+			rounds++
+			is.NoErr(written.check(without(mesh, silent), 2*policyBound))
+			mesh.Restore(hosts(silent)...)
+			time.Sleep(2 * policyBound)
+			silent = nil
+		}
+		is.True(rounds >= 3)
+	})
+}
+
+// TestUnknownRouteBeforeNewestPolicyIsKnown guards against a final refusal, for a route that was
+// added, by a process that can't know whether its policy is the newest one.
+func TestUnknownRouteBeforeNewestPolicyIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		mesh := Start(t, Config{Nodes: 8})
+		defer mesh.Close()
+		putRoutes(mesh, 1)
+		time.Sleep(settleTime)
+		node := mesh.Nodes[0]
+		status, _, err := node.Get(testHost, "/no-route/")
+		is.NoErr(err)
+		is.Equal(status, http.StatusNotFound)
+
+		mesh.Store.SetFaults(faultsSilent)
+		time.Sleep(policyBound)
+		status, retryAfter, err := node.Get(testHost, "/no-route/")
+		is.NoErr(err)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(retryAfter != "")
+
+		mesh.Store.SetFaults(faultsNone)
+		time.Sleep(5 * time.Second)
+		status, _, err = node.Get(testHost, "/no-route/")
+		is.NoErr(err)
+		is.Equal(status, http.StatusNotFound)
+	})
+}
+
+var (
+	faultsSilent = metastore.Faults{Silent: true}
+	faultsNone   = metastore.Faults{}
+)
--- a/kernel/listeners.go
+++ b/kernel/listeners.go
@@ -15,7 +15,10 @@
 
 // listen binds all addresses of the settings and endpoints. If one cannot be bound, it
 // closes the others and returns a result.AddressInUse error.
-func (p *Process) listen() error {
+func (p *Process) listen(bind ListenFunc) error {
+	if bind == nil {
+		bind = socket.Listen
+	}
 	targets := []struct {
 		address string
 		into    *net.Listener
@@ -30,7 +33,7 @@
 		if !target.needed {
 			continue
 		}
-		listener, err := socket.Listen(target.address)
+		listener, err := bind(target.address)
 		if err != nil {
 			p.listeners.close()
 			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", target.address)
@@ -38,7 +41,7 @@
 		*target.into = listener
 	}
 	for _, endpoint := range p.endpoints {
-		listener, err := socket.Listen(endpoint.Address)
+		listener, err := bind(endpoint.Address)
 		if err != nil {
 			p.listeners.close()
 			return result.Wrap(result.AddressInUse, err, "cannot listen on %s", endpoint.Address)
--- a/kernel/options.go
+++ b/kernel/options.go
@@ -19,6 +19,8 @@
 	Machines store.MachineList // optional
 	// Dial opens connections to other processes. The default is a socket.Dialer.
 	Dial DialFunc
+	// Listen binds an address. The default is socket.Listen.
+	Listen ListenFunc
 	// Dialect names the headers used by callers and back ends. The zero value stands
 	// for plain HTTP.
 	Dialect wire.Dialect
@@ -37,3 +39,6 @@
 
 // DialFunc opens a TCP connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ListenFunc binds a TCP address.
+type ListenFunc func(address string) (net.Listener, error)
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	p := newProcess(options)
-	if err := p.listen(); err != nil {
+	if err := p.listen(options.Listen); err != nil {
 		return nil, err
 	}
 	p.servers = newServers(p)
