configsync: a peer that falls silent no longer keeps a policy from being fetched from others

What callers saw: 404 for a route of a version that the store had acknowledged more than 2 s before. Cause: one fetch of a document at a time, bounded by 2 s. A peer that announced a revision and fell silent, while a connection to it was open, held it for all of that time, and what other peers announced meanwhile was dropped. A delay of somebody else was a constant that had nothing to do with the time that is promised. Change: spread.Fetches remembers who announced which revision. A fetch that is not answered after a tenth of the bound is followed by one from another peer, three at a time; one that fails, at once. A process that has known of a higher revision for a fifth of the bound reads the store. Safe: what is fetched is offered as before, only higher revisions count; at most three transfers of a document at a time.

--- a/plugin/configsync/documents.go
+++ b/plugin/configsync/documents.go
@@ -27,10 +27,8 @@
 	subscribers []func(time.Time, []byte)
 	// Revision of current, for other goroutines.
 	revision atomic.Uint64
-	// The first news of a higher revision.
-	announced announcement
-	// Whether the document is being fetched from a peer.
-	pulling atomic.Bool
+	// Decides from which peers a higher revision is fetched. Guarded by synchronizer.mutex.
+	fetches spread.Fetches
 }
 
 // synchronizer keeps the documents of one process up to date.
@@ -40,7 +38,9 @@
 	// Whether the policy was once confirmed to be as new as that of the store or a peer.
 	confirmed atomic.Bool
 
-	// Guards the fields below, which concern the policy document.
+	timing spread.Timing
+
+	// Guards the fields below, which concern the policy document, and the fetches of all documents.
 	mutex     sync.Mutex
 	freshness spread.Freshness
 	proof     spread.Proof
@@ -108,8 +108,9 @@
 			adopt(now, data)
 		}
 		d.revision.Store(revision)
+		news := s.recordAdopted(now, d, revision)
 		s.process.Mesh.Announce()
-		fields := append([]any{"document", string(d.name), "revision", revision, "from", from}, d.announced.sources(revision)...)
+		fields := append([]any{"document", string(d.name), "revision", revision, "from", from}, news...)
 		s.process.Log.Emit(event.DocumentAdopted, fields...)
 	})
 }
--- a/plugin/configsync/freshness.go
+++ b/plugin/configsync/freshness.go
@@ -41,13 +41,14 @@
 	return s.freshness.Age(clock.Now().Time())
 }
 
-// mustReadStore reports whether this process must read the store although it is not one of those
-// that watch it. size is the number of live processes in the mesh.
-func (s *synchronizer) mustReadStore(size int) bool {
+// mustReadStore reports whether this process must read a document from the store although it is not
+// one of those that watch it. size is the number of live processes in the mesh.
+func (s *synchronizer) mustReadStore(d *document, size int) bool {
 	if s.proofOlderThan(storeProofShare) {
 		return true
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.freshness.MustReadStore(clock.Now().Time(), size)
+	now := clock.Now().Time()
+	return s.freshness.MustReadStore(now, size) || d.fetches.MustReadStore(now)
 }
--- a/plugin/configsync/peers.go
+++ b/plugin/configsync/peers.go
@@ -1,27 +1,19 @@
 package configsync
 
 import (
-	"context"
 	"net/http"
 	"time"
 
-	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
-// pullTimeout bounds the transfer of one document from a peer.
-const pullTimeout = 2 * time.Second
-
 // ObservePeerRevisions implements kernel.Documents. It fetches the documents of which the peer
 // has a newer revision.
 func (s *synchronizer) ObservePeerRevisions(peer string, revisions wire.Revisions, requestedAt time.Time) {
 	for _, d := range s.documents {
-		s.logAnnouncement(peer, d, revisions.Of(d.name))
-		if revisions.Of(d.name) > d.revision.Load() && d.pulling.CompareAndSwap(false, true) {
-			go s.pull(peer, d)
-		}
+		s.observeRevision(peer, d, revisions.Of(d.name))
 	}
 	s.process.ObserveStoreEra(revisions.StoreEra)
 	s.recordConfirmation(revisions)
@@ -32,26 +24,6 @@
 	}
 }
 
-// pull fetches one document from a peer.
-func (s *synchronizer) pull(peer string, d *document) {
-	defer d.pulling.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	var fetched wire.Document
-	path := wire.PathDocument + string(d.name)
-	startedAt := clock.Now()
-	if err := s.process.Control.Invoke(ctx, peer, http.MethodGet, path, nil, &fetched); err != nil {
-		s.logFetchFailed(peer, d, startedAt, err)
-		return // The next message from any peer with a newer revision causes another pull.
-	}
-	if _, err := s.offer(ctx, d, fetched.Data, peer); err != nil {
-		return
-	}
-	if fetched.Confirmed && d.name == wire.DocumentPolicy {
-		s.confirmed.Store(true)
-	}
-}
-
 // serveRevisions returns the revisions that are in force in this process.
 func (s *synchronizer) serveRevisions(w http.ResponseWriter, _ *http.Request) {
 	kernel.WriteJSON(w, s.Revisions())
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -17,6 +17,7 @@
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/policy/editor"
+	"github.com/loomcleat/loomcleat/spread"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -25,11 +26,14 @@
 func init() { kernel.Register(name, kernel.StageServices, setup) }
 
 func setup(process *kernel.Process) error {
-	s := &synchronizer{process: process, documents: map[wire.DocumentName]*document{
-		wire.DocumentPolicy: {name: wire.DocumentPolicy, key: editor.Key, revisionOf: policyRevision},
-	}}
+	s := &synchronizer{
+		process:   process,
+		documents: map[wire.DocumentName]*document{},
+		timing:    spread.TimingFor(process.Settings.PolicyWithin.Std()),
+	}
+	s.add(wire.DocumentPolicy, editor.Key, policyRevision)
 	if process.Settings.Claims {
-		s.documents[wire.DocumentGroups] = &document{name: wire.DocumentGroups, key: claims.StoreKey, revisionOf: groupsRevision}
+		s.add(wire.DocumentGroups, claims.StoreKey, groupsRevision)
 	}
 	process.Documents = s
 	process.HandleControl("GET "+wire.PathDocument+"{name}", s.serveDocument)
@@ -52,6 +56,11 @@
 	return nil
 }
 
+// add adds a document that is distributed to all processes.
+func (s *synchronizer) add(name wire.DocumentName, key string, revisionOf func([]byte) (uint64, error)) {
+	s.documents[name] = &document{name: name, key: key, revisionOf: revisionOf, fetches: spread.NewFetches(s.timing)}
+}
+
 // policyRevision checks a policy document and returns its revision.
 func policyRevision(data []byte) (uint64, error) {
 	document, err := policy.Decode(data)
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -77,7 +77,7 @@
 // shouldWatch reports whether this process must watch the store, and logs a change.
 func (w *watcher) shouldWatch() bool {
 	s := w.synchronizer
-	watching := s.watches()
+	watching := s.watches(w.document)
 	if watching != w.active {
 		w.active = watching
 		s.process.Log.Emit(event.StoreWatchChanged, "document", string(w.document.name), "watching", watching,
@@ -92,14 +92,14 @@
 const settleTime = 1500 * time.Millisecond
 
 // watches reports whether this process is one of those that watch the store, or must read it
-// because its peers don't confirm the policy.
-func (s *synchronizer) watches() bool {
+// because its peers don't confirm the policy or don't deliver a higher revision.
+func (s *synchronizer) watches(d *document) bool {
 	live := kernel.LiveIDs(*s.process.Members.Load())
 	settled := time.Since(s.process.Started) >= settleTime
 	if settled && spread.Watches(s.process.ID, live, s.process.Settings.StoreWatches) {
 		return true
 	}
-	return s.mustReadStore(len(live))
+	return s.mustReadStore(d, len(live))
 }
 
 // recordFailure records a failure. Only the first of several consecutive failures is logged.
--- a/settings/check.go
+++ b/settings/check.go
@@ -98,6 +98,7 @@
 	c.duration("claim_retention", s.ClaimRetention, time.Second, 24*time.Hour)
 	c.oneOf("claim_replicas", strconv.Itoa(s.ClaimReplicas), "1", "3", "5", "7")
 	c.number("store_watches", s.StoreWatches, 1, 1000)
+	c.duration("policy_within", s.PolicyWithin, time.Second, time.Minute)
 	c.number("claim_groups", s.ClaimGroups, 1, 1024)
 	c.number("maximum_claims", s.MaximumClaims, 100, 10000000)
 	if s.Role == RoleNode {
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -12,6 +12,7 @@
 		Admin:        "127.0.0.1:0",
 		Log:          Log{Level: "info", Format: "text"},
 		StoreWatches: 3,
+		PolicyWithin: Duration(2 * time.Second),
 		Quota: Quota{
 			Window:    Duration(5 * time.Second),
 			Overshoot: 0.1,
--- a/settings/golden_test.go
+++ b/settings/golden_test.go
@@ -55,7 +55,7 @@
 		"unknown_key: 1", "id: UPPER", "region: UPPER", "zone: UPPER", "listen: nowhere", "control: nowhere", "admin: nowhere",
 		"readiness: nowhere", "store_api: other", "store: ftp://x", "machine_list: ftp://x", "seeds: [nowhere]",
 		"stop_within: 2h", "announce_time: 2m", "drain_timeout: 2h", "probe_interval: 1ms", "claim_retention: 1ms",
-		"claim_replicas: 2", "store_watches: 0", "claim_groups: 0", "maximum_claims: 1", "key_revocation: 1s",
+		"claim_replicas: 2", "store_watches: 0", "policy_within: 1ms", "claim_groups: 0", "maximum_claims: 1", "key_revocation: 1s",
 		"announce_time: 5", "log:\n  level: loud", "log:\n  format: xml",
 		"retry_budget:\n  window: 1ms", "retry_budget:\n  window: 10s\n  ratio: 2", "retry_budget:\n  window: 10s\n  slack: -1",
 		"quota:\n  window: 1ms", "quota:\n  overshoot: 2", "quota:\n  slack: -1", "quota:\n  interval: 1ms",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -122,6 +122,12 @@
 	// from the store. Default 3.
 	StoreWatches int `yaml:"store_watches"`
 
+	// PolicyWithin is the time within which a policy that the store has accepted is in force in each
+	// process that reaches the store, whatever happens to other processes, 1s to 1m. With a
+	// shorter time, processes ask each other more often, and read the store sooner when no one
+	// answers. Default 2s.
+	PolicyWithin Duration `yaml:"policy_within"`
+
 	// PolicyRequired makes the process refuse requests until it has received a policy
 	// document from the store or a peer, instead of using the default policy. Default
 	// false.
