spread: a process reads the store before its policy can be older than the bound

Cause: a process that does not watch the store trusted the last confirmation by a peer for 2.5 s, and longer in larger meshes (4.4 s at 196). When all that watch the store fell silent, it read the store after that only. The time was chosen so that few processes read, not from what is promised; a gossip message that had been on its way for long could make the confirmation look newer still. Evidence: internal/virtual TestPolicyInForceAlthoughWatchersAreSilent (8 and 196 processes) and TestPolicyInForceWhileOthersAreSilent failed. Change: spread.Timing derives all times from the bound. What a process knows counts from when it asked. At 0.3 of the bound it asks a process that watches, whoever lists it; at half of it, it reads the store. The first read has a short timeout, and its failure is followed by another at once. An empty wait counts from its end. Freshness and its sizes are gone; Proof serves both. TestFewProcessesReadStore keeps its sizes and its bound of 3 in 100; TestPeerConfirmsAbsence now asks before it believes, and checks that an unsolicited message confirms nothing. Safe: only who reads and asks, and when.

--- /dev/null
+++ b/plugin/configsync/age.go
@@ -0,0 +1,61 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/wire"
+)
+
+// recordRead records that the store returned a document. at is when it was the newest one in the
+// store; proven is the time for the proof, earlier than at where the store may lag. The proof is
+// recorded only if the document is the newest one that is known. It ignores documents other than the
+// policy.
+func (s *synchronizer) recordRead(d *document, at, proven time.Time, isNewest bool) {
+	if d.name != wire.DocumentPolicy {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.newest.Record(at)
+	if isNewest {
+		s.proof.Record(proven)
+	}
+}
+
+// recordConfirmation records a peer's age of its policy in a reply. requestedAt is when this process
+// sent the request, zero for an unsolicited message, which may have been on its way for any time. If
+// the policy of this process is newer than the peer's, it was written later, so that the age holds for
+// it too.
+func (s *synchronizer) recordConfirmation(revisions wire.Revisions, requestedAt time.Time) {
+	if requestedAt.IsZero() || revisions.Age == 0 || revisions.Policy > s.documents[wire.DocumentPolicy].revision.Load() {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.newest.Record(requestedAt.Add(-time.Duration(revisions.Age) * time.Millisecond))
+}
+
+// age returns the time since the policy was known to be the newest one, and false if it never was.
+func (s *synchronizer) age() (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.newest.Age(clock.Now().Time())
+}
+
+// isOlderThan reports whether the policy was not known to be the newest one within the given time.
+func (s *synchronizer) isOlderThan(limit time.Duration) bool {
+	age, known := s.age()
+	return !known || age > limit
+}
+
+// mustReadStore reports whether this process must read a document from the store although it is not
+// one of those that watch it.
+func (s *synchronizer) mustReadStore(d *document) bool {
+	if s.proofOlderThan(storeProofShare) || s.isOlderThan(s.timing.ReadAge) {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return d.fetches.MustReadStore(clock.Now().Time())
+}
--- a/plugin/configsync/documents.go
+++ b/plugin/configsync/documents.go
@@ -41,16 +41,18 @@
 	timing spread.Timing
 
 	// Guards the fields below, which concern the policy document, and the fetches of all documents.
-	mutex     sync.Mutex
-	freshness spread.Freshness
-	proof     spread.Proof
+	mutex sync.Mutex
+	// When the policy was known to be the newest one, for the decision who reads the store.
+	newest spread.Proof
+	// The same for the trust in keys: it also counts the time by which the answer to a wait may lag.
+	proof spread.Proof
 }
 
 // Revisions implements kernel.Documents.
 func (s *synchronizer) Revisions() wire.Revisions {
 	revisions := wire.Revisions{Confirmed: s.confirmed.Load(), StoreEra: s.process.StoreEra()}
 	if age, known := s.age(); known {
-		revisions.Age = max(age.Milliseconds(), 1)
+		revisions.Age = age.Milliseconds() + 1 // Rounded up: it must not be less than the age.
 	}
 	if age, known := s.PolicyProof(clock.Now().Time()); known {
 		revisions.ProvenAge = age.Milliseconds() + 1 // Rounded up: it must not be less than the age.
--- a/plugin/configsync/proof.go
+++ b/plugin/configsync/proof.go
@@ -1,14 +1,9 @@
 package configsync
 
 import (
-	"context"
-	"net/http"
-	"slices"
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
-	"github.com/loomcleat/loomcleat/kernel"
-	"github.com/loomcleat/loomcleat/spread"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -42,10 +37,6 @@
 	// storeProofShare is the age of the proof, as a share of the revocation time, above which
 	// the store is read.
 	storeProofShare = 0.75
-	// proofCheckInterval is the time between two checks of the age.
-	proofCheckInterval = 250 * time.Millisecond
-	// proofTimeout bounds the request to one peer.
-	proofTimeout = 300 * time.Millisecond
 )
 
 // proofOlderThan reports whether the proof of the policy is missing or older than the given share
@@ -58,46 +49,3 @@
 	age, known := s.PolicyProof(clock.Now().Time())
 	return !known || age > time.Duration(share*float64(revocation))
 }
-
-// renewProof requests the proof from the processes that watch the store, one after the other,
-// while that of this process is too old. It runs until ctx is done.
-func (s *synchronizer) renewProof(ctx context.Context) {
-	for next := 0; ctx.Err() == nil; {
-		kernel.Pause(ctx, proofCheckInterval)
-		if !s.proofOlderThan(peerProofShare) {
-			continue
-		}
-		watchers := s.otherWatchers()
-		if len(watchers) == 0 {
-			continue
-		}
-		s.requestProof(ctx, watchers[next%len(watchers)])
-		next++
-	}
-}
-
-// requestProof requests the proof of one peer.
-func (s *synchronizer) requestProof(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
-	defer cancel()
-	var revisions wire.Revisions
-	requestedAt := clock.Now().Time()
-	if err := s.process.Control.Invoke(ctx, address, http.MethodGet, wire.PathRevisions, nil, &revisions); err != nil {
-		return // The next peer is asked. Refusals because of an old proof are logged.
-	}
-	s.ObservePeerRevisions(address, revisions, requestedAt)
-}
-
-// otherWatchers returns the control addresses of the other processes that watch the
-// store.
-func (s *synchronizer) otherWatchers() []string {
-	members := *s.process.Members.Load()
-	addresses := []string{}
-	watchers := spread.Watchers(kernel.LiveIDs(members), s.process.Settings.StoreWatches)
-	for _, member := range members {
-		if member.ID != s.process.ID && slices.Contains(watchers, member.ID) {
-			addresses = append(addresses, member.Control)
-		}
-	}
-	return addresses
-}
--- a/plugin/configsync/setup.go
+++ b/plugin/configsync/setup.go
@@ -46,9 +46,7 @@
 		for _, d := range s.documents {
 			process.OnStart(func(ctx context.Context) { s.watch(ctx, d) })
 		}
-		if process.Settings.KeyRevocation > 0 {
-			process.OnStart(s.renewProof)
-		}
+		process.OnStart(s.keepConfirmed)
 	}
 	process.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "loomcleat_policy_revision", Help: "Revision of the policy tree in force in this process.",
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -20,9 +20,7 @@
 	// that is never answered delays the next change by this time.
 	watchWait = 700 * time.Millisecond
 	// answerMargin is how long the answer to a wait may take beyond watchWait.
-	answerMargin = 500 * time.Millisecond
-	// idleInterval is the time between two checks whether this process must watch the store.
-	idleInterval = 200 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
 	// coalesceDelay is the pause after a change, so that several changes in quick succession are
 	// read together.
 	coalesceDelay = 100 * time.Millisecond
@@ -33,6 +31,8 @@
 	// fails. It doubles with each failure.
 	firstBackoff   = 100 * time.Millisecond
 	maximumBackoff = time.Second
+	// maximumTimeoutDoublings bounds how often the timeout of a read doubles.
+	maximumTimeoutDoublings = 3
 )
 
 // watcher watches one document in the store.
@@ -58,13 +58,13 @@
 	for ctx.Err() == nil {
 		if !w.shouldWatch() {
 			w.position = 0
-			kernel.Pause(ctx, idleInterval)
+			kernel.Pause(ctx, s.timing.CheckInterval)
 			continue
 		}
 		before := d.revision.Load()
 		if err := w.step(ctx); err != nil {
 			w.recordFailure(ctx, err)
-			kernel.Pause(ctx, backoff(w.failures))
+			kernel.Pause(ctx, w.backoff())
 			continue
 		}
 		w.recordSuccess()
@@ -99,7 +99,7 @@
 	if settled && spread.Watches(s.process.ID, live, s.process.Settings.StoreWatches) {
 		return true
 	}
-	return s.mustReadStore(d, len(live))
+	return s.mustReadStore(d)
 }
 
 // recordFailure records a failure. Only the first of several consecutive failures is logged.
@@ -127,10 +127,7 @@
 func (w *watcher) step(ctx context.Context) error {
 	s, d := w.synchronizer, w.document
 	requestedAt := clock.Now().Time()
-	proven := requestedAt
-	if w.position > 0 {
-		proven = requestedAt.Add(-maximumWatchLag)
-	}
+	isWait := w.position > 0
 	entry, err := w.read(ctx)
 	if err != nil {
 		return err
@@ -141,7 +138,7 @@
 	}
 	// A store that was restored from an older copy lacks changes. What it shows then proves nothing.
 	isNewest := w.offeredRevision >= d.revision.Load()
-	s.recordRead(d, requestedAt, proven, isNewest)
+	s.recordRead(d, newestAt(requestedAt, isWait), provenAt(requestedAt, isWait), isNewest)
 	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
 		s.confirmed.Store(true)
 	}
@@ -153,6 +150,23 @@
 	return nil
 }
 
+// newestAt returns when the entry of a read, or of a wait for a change, that began at requestedAt was
+// the newest one in the store. A wait that takes its whole time ends without a change.
+func newestAt(requestedAt time.Time, isWait bool) time.Time {
+	if isWait && clock.Now().Time().Sub(requestedAt) >= watchWait {
+		return requestedAt.Add(watchWait)
+	}
+	return requestedAt
+}
+
+// provenAt returns since when the entry of a read or of a wait proves the policy.
+func provenAt(requestedAt time.Time, isWait bool) time.Time {
+	if isWait {
+		return requestedAt.Add(-maximumWatchLag)
+	}
+	return requestedAt
+}
+
 // offerEntry offers an entry unless it is the one that was offered last. Most waits end without a
 // change, and decoding a document is costly.
 func (w *watcher) offerEntry(ctx context.Context, entry store.Entry) error {
@@ -175,19 +189,32 @@
 func (w *watcher) read(ctx context.Context) (store.Entry, error) {
 	s, d := w.synchronizer, w.document
 	if w.position == 0 {
-		return s.process.Store.Get(ctx, d.key)
+		return w.get(ctx)
 	}
 	waiting, cancel := context.WithTimeout(ctx, watchWait+answerMargin)
 	defer cancel()
 	entry, err := s.process.Store.Watch(waiting, d.key, w.position, watchWait)
 	if err != nil && ctx.Err() == nil && waiting.Err() != nil {
-		return s.process.Store.Get(ctx, d.key) // The server that held the wait may be down.
+		return w.get(ctx) // The server that held the wait may be down.
 	}
 	return entry, err
 }
 
-// backoff returns the randomized pause after the given number of consecutive failures.
-func backoff(failures int) time.Duration {
-	limit := min(firstBackoff<<min(failures, 6), maximumBackoff)
+// get reads the document. The timeout is short at first, since a connection may have gone silent, and
+// doubles with each failure, since the store may be slow.
+func (w *watcher) get(ctx context.Context) (store.Entry, error) {
+	timeout := w.synchronizer.timing.ReadTimeout << min(w.failures, maximumTimeoutDoublings)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return w.synchronizer.process.Store.Get(ctx, w.document.key)
+}
+
+// backoff returns the randomized pause after a failure. There is none after the first one, which may
+// only have shown that a connection went silent.
+func (w *watcher) backoff() time.Duration {
+	if w.failures <= 1 {
+		return 0
+	}
+	limit := min(firstBackoff<<min(w.failures, 6), maximumBackoff)
 	return limit/2 + rand.N(limit/2)
 }
--- a/plugin/configsync/watch_test.go
+++ b/plugin/configsync/watch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	_ "github.com/loomcleat/loomcleat/plugin/membership"
@@ -119,6 +120,8 @@
 	w := &watcher{synchronizer: synchronizer, document: synchronizer.documents[wire.DocumentPolicy]}
 	is.True(w.shouldWatch()) // No peer has confirmed the policy yet.
 	synchronizer.ObservePeerRevisions("peer", wire.Revisions{Age: 5}, time.Time{})
+	is.True(w.shouldWatch()) // The message may have been on its way for any time.
+	synchronizer.ObservePeerRevisions("peer", wire.Revisions{Age: 5}, clock.Now().Time())
 	is.True(!w.shouldWatch())
 	synchronizer.ObservePeerRevisions("peer", wire.Revisions{Age: 5, Policy: 7}, time.Time{})
 	is.True(!process.Ready()) // Revision 7 has not been fetched.
