kernel: a request without a route gets 404 only from a process that knows its policy to be the newest one

What callers saw: 404, which they take for final, for a route that was there. Cause: the answer rested on the policy in force, however old what the process knew of it was, also when it knew of a higher revision. Change: Documents.MayBeOutdated: a higher revision is known, or nobody has confirmed the policy for half of policy_within. Then the answer is 503 (2018, policy-outdated) with Retry-After; it has not run. A wrong 404 later than the bound is not possible then, since the age counts from when the process asked, even if the policy itself came late. Safe: only requests to which no route leads.

--- a/kernel/outbound_test.go
+++ b/kernel/outbound_test.go
@@ -88,13 +88,27 @@
 	is.True(call.External) // an unknown parent is ignored
 }
 
+// documentsStub is a Documents whose policy may be outdated.
+type documentsStub struct {
+	Documents
+	mayBeOutdated bool
+}
+
+func (d documentsStub) MayBeOutdated() bool { return d.mayBeOutdated }
+
 // TestEntryRefusals guards against refusing a request as unroutable before the routes are
-// known.
+// known, or while a newer policy may have a route.
 func TestEntryRefusals(t *testing.T) {
 	is := is.New(t)
 	p := entryProcess()
+	p.Documents = documentsStub{}
 	_, err := p.entryCall(entryRequest("/b/x", "first", "500"))
 	is.Equal(result.From(err).Code, result.NoRoute)
+	p.Documents = documentsStub{mayBeOutdated: true}
+	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
+	is.Equal(result.From(err).Code, result.PolicyOutdated)
+	is.Equal(result.From(err).Status(), http.StatusServiceUnavailable)
+	is.True(result.From(err).RetryAfter > 0)
 	p.ready.Store(false)
 	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
 	is.Equal(result.From(err).Code, result.NotReady) // never 404 before the policy is known
--- a/kernel/target.go
+++ b/kernel/target.go
@@ -16,8 +16,9 @@
 	routed  bool // chosen by the route table
 }
 
-// routeTarget returns the target of a request by the route table of the policy tree, or a
-// result.NoRoute error when no route matches. Without a route table, service returns the
+// routeTarget returns the target of a request by the route table of the policy tree. When no route
+// matches, it returns a result.NoRoute error, or a result.PolicyOutdated error if a newer policy may
+// have one. Without a route table, service returns the
 // name of the service.
 func (p *Process) routeTarget(r *http.Request, service func(*http.Request) string) (target, error) {
 	index := p.Policy.Load()
@@ -28,12 +29,22 @@
 	}
 	route := index.Routes().Find(hostName(r.Host), path)
 	if route == nil {
-		return target{}, result.New(result.NoRoute, "no route of revision %d leads to %s%s", index.Revision(), r.Host, path)
+		return target{}, p.noRoute(index.Revision(), r.Host+path)
 	}
 	name := route.ServiceAt(p.splits.next(route.Name))
 	return target{service: name, policy: route.Apply(index.Resolve(name, r.Method, path)), routed: true}, nil
 }
 
+// noRoute returns the error for a request to which no route of a revision leads. Callers take
+// result.NoRoute for final and don't try again.
+func (p *Process) noRoute(revision uint64, address string) error {
+	// The policy is read again after that: what was confirmed may be one that has replaced it.
+	if p.Documents.MayBeOutdated() || p.Policy.Load().Revision() != revision {
+		return result.New(result.PolicyOutdated, "no route of revision %d leads to %s, which may not be the newest revision", revision, address).WithUsualRetryAfter()
+	}
+	return result.New(result.NoRoute, "no route of revision %d leads to %s", revision, address)
+}
+
 // routeService returns the service of a request by the routes in the settings, or by the
 // first label of the host when none matches.
 func (p *Process) routeService(r *http.Request) string {
--- a/plugin/configsync/age.go
+++ b/plugin/configsync/age.go
@@ -49,6 +49,17 @@
 	return !known || age > limit
 }
 
+// MayBeOutdated implements kernel.Documents.
+func (s *synchronizer) MayBeOutdated() bool {
+	if s.process.Store == nil {
+		return false
+	}
+	s.mutex.Lock()
+	isOutdated := s.documents[wire.DocumentPolicy].fetches.IsOutdated()
+	s.mutex.Unlock()
+	return isOutdated || s.isOlderThan(s.timing.ReadAge)
+}
+
 // mustReadStore reports whether this process must read a document from the store although it is not
 // one of those that watch it.
 func (s *synchronizer) mustReadStore(d *document) bool {
--- a/result/retryafter.go
+++ b/result/retryafter.go
@@ -47,6 +47,7 @@
 	// No proof or no majority: the process retries within a second.
 	ClaimUnavailable: {usual: usualWait},
 	KeysUnproven:     {usual: usualWait},
+	PolicyOutdated:   {usual: usualWait},
 
 	// The store limits the number of requests per second.
 	StoreUnavailable: {usual: usualWait},
--- a/result/retryafter_test.go
+++ b/result/retryafter_test.go
@@ -14,7 +14,7 @@
 	usual := map[Code]time.Duration{
 		StoreUnavailable: time.Second, Overloaded: time.Second, ShedEarly: time.Second, Draining: time.Second,
 		NoNode: time.Second, ClaimUnavailable: time.Second, BackendUnreachable: time.Second, NotReady: time.Second,
-		NodeRefused: time.Second, BackendRefused: time.Second, BackendLeft: time.Second, KeysUnproven: time.Second,
+		NodeRefused: time.Second, BackendRefused: time.Second, BackendLeft: time.Second, KeysUnproven: time.Second, PolicyOutdated: time.Second,
 		QuotaExceeded: time.Second, RateLimited: time.Second,
 	}
 	for _, definition := range Table {
