--- a/plugin/tenant/authenticate.go
+++ b/plugin/tenant/authenticate.go
@@ -26,6 +26,8 @@
 type authenticator struct {
 	policy func() *policy.Index
 	proof  func(now time.Time) (age time.Duration, known bool)
+	// Whether a newer policy may exist, which may have more keys.
+	mayBeOutdated func() bool
 	// Age up to which a proof is valid, 0 for no proof needed.
 	maximumProofAge time.Duration
 	writeTenant     func(header http.Header, tenant string)
@@ -43,8 +45,9 @@
 }
 
 // authenticate sets the tenant of a call and its priority. On a route that needs a key, it returns a
-// result.KeyUnknown error if the caller has no valid key, and a result.KeysUnproven error if the
-// policy is not proven, so that a valid key can't be told from a revoked one.
+// result.KeyUnknown error if the caller has no valid key, a result.KeysUnproven error if the
+// policy is not proven, so that a valid key can't be told from a revoked one, and a
+// result.PolicyOutdated error if a newer policy may have the key.
 func (a *authenticator) authenticate(call *kernel.Call) error {
 	// The proof must be read before the policy: a later proof might be that of a newer policy.
 	proof := a.readProof()
@@ -56,7 +59,7 @@
 			return proof.refusal(index)
 		}
 		if tenant == nil {
-			return result.New(result.KeyUnknown, "revision %d has no tenant with the key of this request, and its route is not public", index.Revision())
+			return a.keyUnknown(call, index.Revision())
 		}
 	}
 	if tenant == nil {
@@ -70,6 +73,17 @@
 	return nil
 }
 
+// keyUnknown returns the error for a request without a key of a revision. Callers take
+// result.KeyUnknown for final and don't try again.
+func (a *authenticator) keyUnknown(call *kernel.Call, revision uint64) error {
+	hasKey := call.Credential != ""
+	// The policy is read again after that: what was confirmed may be one that has replaced it.
+	if hasKey && (a.mayBeOutdated() || a.policy().Revision() != revision) {
+		return result.New(result.PolicyOutdated, "revision %d, which may not be the newest one, has no tenant with the key of this request", revision).WithUsualRetryAfter()
+	}
+	return result.New(result.KeyUnknown, "revision %d has no tenant with the key of this request, and its route is not public", revision)
+}
+
 // rankedPriority returns the priority of a call by the class of its tenant and then that of its
 // route. A tenant without a class has that of the route.
 func rankedPriority(call *kernel.Call, tenant *policy.Tenant) int {
--- a/plugin/tenant/setup.go
+++ b/plugin/tenant/setup.go
@@ -20,6 +20,7 @@
 	a := &authenticator{
 		policy:          process.Policy.Load,
 		proof:           process.Documents.PolicyProof,
+		mayBeOutdated:   process.Documents.MayBeOutdated,
 		maximumProofAge: maximumProofAge(process.Settings.KeyRevocation.Std()),
 		writeTenant:     process.Dialect.WriteTenant,
 	}
--- a/plugin/tenant/tenant_test.go
+++ b/plugin/tenant/tenant_test.go
@@ -24,6 +24,7 @@
 	dialect := wire.Dialect{}
 	return &authenticator{
 		policy:          func() *policy.Index { return index },
+		mayBeOutdated:   func() bool { return false },
 		proof:           func(time.Time) (time.Duration, bool) { return age, age >= 0 },
 		maximumProofAge: maximumProofAge(revocation),
 		writeTenant:     dialect.WriteTenant,
@@ -90,6 +91,28 @@
 	}
 }
 
+// TestUnknownKeyOfOutdatedPolicy guards against a final refusal of a key that a newer policy may
+// have, also of one that comes into force just then.
+func TestUnknownKeyOfOutdatedPolicy(t *testing.T) {
+	is := is.New(t)
+	a := newAuthenticator(keyedPolicy(), time.Second)
+	refuse := func(key string) *result.Error {
+		return result.From(a.authenticate(&kernel.Call{External: true, Credential: key, Header: http.Header{}}))
+	}
+	is.Equal(refuse("secret-3").Code, result.KeyUnknown)
+	a.mayBeOutdated = func() bool { return true }
+	is.Equal(refuse("secret-3").Code, result.PolicyOutdated)
+	is.True(refuse("secret-3").RetryAfter > 0)
+	is.Equal(refuse("").Code, result.KeyUnknown) // no policy has a tenant without a key
+	newer := keyedPolicy()
+	newer.Revision++
+	a.mayBeOutdated = func() bool {
+		a.policy = func() *policy.Index { return policy.NewIndex(newer) }
+		return false
+	}
+	is.Equal(refuse("secret-3").Code, result.PolicyOutdated)
+}
+
 // TestTenantClassTakesPrecedence guards against ordering requests by the class of the route before
 // that of the tenant.
 func TestTenantClassTakesPrecedence(t *testing.T) {
--- a/result/codes.go
+++ b/result/codes.go
@@ -118,7 +118,7 @@
 	{QuotaExceeded, "quota-exceeded", http.StatusTooManyRequests, true, "The tenant has made more requests than its quota allows, over all processes together."},
 	{RequestQuarantined, "request-quarantined", http.StatusServiceUnavailable, true, "Back ends crashed, one after the other, while they ran this request, so that it is not handed to another."},
 	{RateLimited, "rate-limited", http.StatusServiceUnavailable, true, "The back end has declared how many requests a second it takes, and gets as many."},
-	{PolicyOutdated, "policy-outdated", http.StatusServiceUnavailable, true, "No route leads to the host and path, but the process can't know that its policy is the newest one."},
+	{PolicyOutdated, "policy-outdated", http.StatusServiceUnavailable, true, "No route, service or key of the request is known, but the process can't know that its policy is the newest one."},
 	{DeadlineExceeded, "deadline-exceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request was in flight."},
 	{ConnectionLost, "connection-lost", http.StatusBadGateway, false, "The connection broke after the request was sent and before its answer arrived."},
 	{AlreadyClaimed, "already-claimed", http.StatusConflict, false, "The request was started before under the same key and its answer is not available; it was not run again."},
