--- a/event/events.go
+++ b/event/events.go
@@ -127,7 +127,7 @@
 	{StoreWatchChanged, "store-watch-changed", "info", "This process started or stopped reading the store: on behalf of its peers, or because no peer confirms its policy."},
 	{StoreRestored, "store-restored", "warn", "The key-value store was restored from an older copy: it is read anew, and what this process keeps there is written again."},
 	{DocumentAnnounced, "document-announced", "info", "A peer has a higher revision of a document than this process, which fetches it."},
-	{FetchFailed, "fetch-failed", "warn", "A document could not be fetched from a peer; other peers and the store are asked."},
+	{FetchFailed, "fetch-failed", "warn", "A document, or the crashes that a peer knows, could not be fetched from it; other peers, and for documents the store, are asked."},
 	{MemberJoined, "member-joined", "info", "A process joined the mesh."},
 	{MemberSuspected, "member-suspected", "warn", "A member did not answer probes."},
 	{MemberDead, "member-dead", "warn", "A member was declared dead."},
--- a/plugin/quarantine/peers.go
+++ b/plugin/quarantine/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/quarantine"
@@ -22,11 +23,6 @@
 	maximumConcurrentReports = 16
 	// pullTimeout bounds the transfer of all crashes that a peer knows.
 	pullTimeout = time.Second
-	// minimumPullInterval is the minimum time between two pulls for the same digest. A peer that knows
-	// fewer crashes than this process keeps sending another digest until it has caught up.
-	minimumPullInterval = 2 * time.Second
-	// maximumPulledDigests bounds the number of recorded digests.
-	maximumPulledDigests = 64
 )
 
 // broadcast reports crashes to all processes, those of the own service first, since their
@@ -93,39 +89,31 @@
 // crashes that the peer knows, so that processes which were partitioned or have just started
 // catch up.
 func (p *plugin) ObservePeerDigest(peer string, digest uint64) {
-	if digest == 0 || digest == p.Digest() || !p.pulling.CompareAndSwap(false, true) {
+	if digest == 0 || digest == p.Digest() {
 		return
 	}
-	if !p.mayPull(clock.Now().Time(), digest) {
-		p.pulling.Store(false)
-		return
-	}
-	go p.pull(peer)
-}
-
-// mayPull reports whether the last pull for a digest was at least minimumPullInterval ago, and
-// records a new one if so.
-func (p *plugin) mayPull(now time.Time, digest uint64) bool {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if at, known := p.pulledAt[digest]; known && now.Sub(at) < minimumPullInterval {
-		return false
-	}
-	if len(p.pulledAt) >= maximumPulledDigests || p.pulledAt == nil {
-		p.pulledAt = map[uint64]time.Time{}
+	begins := p.pulls.Begin(clock.Now().Time(), peer, digest)
+	p.mutex.Unlock()
+	if begins {
+		go p.pull(peer)
 	}
-	p.pulledAt[digest] = now
-	return true
 }
 
-// pull fetches all crashes that a peer knows.
+// pull fetches all crashes that a peer knows. After a failure, the next message with a different
+// digest, from any peer, causes another pull.
 func (p *plugin) pull(peer string) {
-	defer p.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(p.process.Context(), pullTimeout)
 	defer cancel()
 	var answer wire.Crashes
-	if err := p.process.Control.Invoke(ctx, peer, http.MethodGet, wire.PathQuarantine, nil, &answer); err != nil {
-		return // The next message with a different digest, from any peer, causes another pull.
+	err := p.process.Control.Invoke(ctx, peer, http.MethodGet, wire.PathQuarantine, nil, &answer)
+	now := clock.Now().Time()
+	p.mutex.Lock()
+	p.pulls.Ended(now, peer, err == nil)
+	p.mutex.Unlock()
+	if err != nil {
+		p.process.Log.Emit(event.FetchFailed, "document", "crashes", "from", peer, "error", err)
+		return
 	}
-	p.mergeReports(clock.Now().Time(), answer.Crashes, answer.From)
+	p.mergeReports(now, answer.Crashes, answer.From)
 }
--- a/plugin/quarantine/setup.go
+++ b/plugin/quarantine/setup.go
@@ -11,7 +11,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -57,8 +56,6 @@
 	saveDue chan struct{}
 	// Whether the ledger has suspects, for readers without the mutex.
 	hasSuspects atomic.Bool
-	// Whether crashes are being fetched from a peer.
-	pulling atomic.Bool
 	// Crashes of this node's back end.
 	crashCount atomic.Int64
 
@@ -77,8 +74,7 @@
 	lastCrashed string
 	// Ids of the crashes of this node's back end.
 	ownCrashes map[string]bool
-	// Time of the last pull by digest.
-	pulledAt map[uint64]time.Time
+	pulls      quarantine.Pulls
 }
 
 func (p *plugin) registerMetrics(registry *prometheus.Registry) {
