configsync: a wait that ended with a change is followed by a short one

Cause: found by the new test. A wait that ends with a change confirms the policy for its beginning only, up to 0.7 s ago, and the next one took 0.7 s again. Safe: the wait is never longer than before.

--- a/internal/virtual/conn.go
+++ b/internal/virtual/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 type stream struct {
 	network  *Network
 	from, to string // hosts
+	lost     atomic.Bool
 
 	mutex    sync.Mutex
 	chunks   []chunk
@@ -88,7 +90,7 @@
 			return 0, 0, nil, os.ErrDeadlineExceeded
 		}
 	}
-	if blocked {
+	if blocked || s.lost.Load() {
 		return 0, again, s.changed, nil
 	}
 	if len(s.chunks) == 0 {
@@ -122,6 +124,9 @@
 func (n *Network) pair(from, to, target string) (near, far net.Conn) {
 	there := &stream{network: n, from: from, to: to, changed: make(chan struct{})}
 	back := &stream{network: n, from: to, to: from, changed: make(chan struct{})}
+	n.mutex.Lock()
+	n.streams[there], n.streams[back] = true, true
+	n.mutex.Unlock()
 	caller := address(net.JoinHostPort(from, "0"))
 	return &conn{local: caller, remote: address(target), in: back, out: there},
 		&conn{local: address(target), remote: caller, in: there, out: back}
@@ -140,9 +145,17 @@
 		c.out.endsAt = time.Now().Add(c.out.network.delay)
 	})
 	c.in.update(func() { c.in.given = true })
+	c.in.network.forget(c.in)
 	return nil
 }
 
+// forget removes a stream that nobody reads any more.
+func (n *Network) forget(s *stream) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.streams, s)
+}
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return c.local }
 
--- a/internal/virtual/mesh.go
+++ b/internal/virtual/mesh.go
@@ -60,8 +60,11 @@
 	portAdmin    = 7003
 )
 
-// storeAddress is the address of the store, which is never silent itself.
-const storeAddress = "10.255.0.1:80"
+// Address of the store.
+const (
+	StoreHost    = "10.255.0.1"
+	storeAddress = StoreHost + ":80"
+)
 
 // Start starts a mesh. It and its goroutines end with the test function t, which must call Close.
 func Start(t *testing.T, config Config) *Mesh {
--- a/internal/virtual/network.go
+++ b/internal/virtual/network.go
@@ -14,12 +14,13 @@
 	delay     time.Duration // one way
 	listeners map[string]*listener
 	silent    map[string]bool
-	changed   chan struct{} // closed and replaced when a host falls silent or is heard again
+	streams   map[*stream]bool // of open connections
+	changed   chan struct{}    // closed and replaced when a host falls silent or is heard again
 }
 
 // NewNetwork returns a network whose links all have the given one-way delay.
 func NewNetwork(delay time.Duration) *Network {
-	return &Network{delay: delay, listeners: map[string]*listener{}, silent: map[string]bool{}, changed: make(chan struct{})}
+	return &Network{delay: delay, listeners: map[string]*listener{}, silent: map[string]bool{}, streams: map[*stream]bool{}, changed: make(chan struct{})}
 }
 
 // Silence holds all bytes from and to the given hosts back, without closing any connection, as a
@@ -29,6 +30,18 @@
 // Restore ends the silence of hosts. Bytes that were held back arrive.
 func (n *Network) Restore(hosts ...string) { n.setSilent(false, hosts) }
 
+// SilenceConnections loses all bytes of the connections to a host that are open now, for good and
+// without a reset. New connections work.
+func (n *Network) SilenceConnections(host string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for open := range n.streams {
+		if open.from == host || open.to == host {
+			open.lost.Store(true)
+		}
+	}
+}
+
 func (n *Network) setSilent(silent bool, hosts []string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/virtual/policy_test.go
+++ b/internal/virtual/policy_test.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -178,44 +178,48 @@
 	}
 }
 
-// announcementHook calls a function when a process learns of a revision, with the peer that it
-// learned it from.
-type announcementHook struct {
-	mutex       sync.Mutex
-	onAnnounced func(node int, by string)
+// logHook calls a function for each log line of one event, with the node that wrote it.
+type logHook struct {
+	mutex  sync.Mutex
+	number event.Number
+	onLine func(node int, line logLine)
 }
 
-// set replaces the function; nil for none.
-func (h *announcementHook) set(onAnnounced func(node int, by string)) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.onAnnounced = onAnnounced
+// logLine is a log line, as far as tests read it.
+type logLine struct {
+	Event event.Number `json:"event"`
+	By    string       `json:"by"`
+	// Whether the process reads the store, in event.StoreWatchChanged.
+	Watching bool `json:"watching"`
 }
 
-func (h *announcementHook) call(node int, by string) {
+// set replaces the function; nil for none.
+func (h *logHook) set(number event.Number, onLine func(node int, line logLine)) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.onAnnounced != nil {
-		h.onAnnounced(node, by)
-	}
+	h.number, h.onLine = number, onLine
 }
 
-// of returns the log output of a node.
-func (h *announcementHook) of(node int) io.Writer { return nodeLog{hook: h, node: node} }
+// logger returns the logger of a node.
+func (h *logHook) logger(node int) *event.Logger {
+	return event.NewLogger(event.Options{Output: nodeLog{hook: h, node: node}, Level: "info", JSON: true})
+}
 
 type nodeLog struct {
-	hook *announcementHook
+	hook *logHook
 	node int
 }
 
 // Write implements io.Writer.
 func (l nodeLog) Write(line []byte) (int, error) {
-	var read struct {
-		Event event.Number `json:"event"`
-		By    string       `json:"by"`
+	var read logLine
+	if err := json.Unmarshal(line, &read); err != nil {
+		return 0, err
 	}
-	if json.Unmarshal(line, &read) == nil && read.Event == event.DocumentAnnounced {
-		l.hook.call(l.node, read.By)
+	l.hook.mutex.Lock()
+	defer l.hook.mutex.Unlock()
+	if l.hook.onLine != nil && read.Event == l.hook.number {
+		l.hook.onLine(l.node, read)
 	}
 	return len(line), nil
 }
@@ -243,8 +247,8 @@
 	silenced *Node                // nil while armed
 }
 
-func (a *announcerSilencer) onAnnounced(node int, by string) {
-	host, _, err := net.SplitHostPort(by)
+func (a *announcerSilencer) onAnnounced(node int, line logLine) {
+	host, _, err := net.SplitHostPort(line.By)
 	if err != nil {
 		return
 	}
@@ -284,16 +288,14 @@
 func TestPolicyInForceAlthoughAnnouncerFallsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		hook := &announcementHook{}
-		mesh := Start(t, Config{Nodes: 8, Log: func(node int) *event.Logger {
-			return event.NewLogger(event.Options{Output: hook.of(node), Level: "info", JSON: true})
-		}})
+		hook := &logHook{}
+		mesh := Start(t, Config{Nodes: 8, Log: hook.logger})
 		defer mesh.Close()
 		written := newWrites(mesh)
 		written.put()
 		time.Sleep(settleTime)
 		silencer := &announcerSilencer{mesh: mesh, learned: map[[2]int]time.Time{}}
-		hook.set(silencer.onAnnounced)
+		hook.set(event.DocumentAnnounced, silencer.onAnnounced)
 		for range 20 {
 			var silent *Node
 			for silent == nil {
@@ -301,14 +303,70 @@
 				silent = silencer.wait(60 * time.Millisecond)
 			}
 			is.NoErr(written.check(without(mesh, []*Node{silent}), 2*policyBound))
-			hook.set(nil)
+			hook.set(0, nil)
 			silencer.arm()
 			time.Sleep(2 * policyBound)
-			hook.set(silencer.onAnnounced)
+			hook.set(event.DocumentAnnounced, silencer.onAnnounced)
 		}
 	})
 }
 
+// TestPolicyInForceAlthoughConnectionsToStoreAreSilent guards against waits and reads that hang on a
+// connection which went silent, one after the other.
+func TestPolicyInForceAlthoughConnectionsToStoreAreSilent(t *testing.T) {
+	for after := time.Duration(0); after < policyBound; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprintf("change after %s", after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mesh := Start(t, Config{Nodes: 8})
+				defer mesh.Close()
+				written := newWrites(mesh)
+				written.put()
+				time.Sleep(settleTime)
+				mesh.SilenceConnections(StoreHost)
+				time.Sleep(after)
+				written.put()
+				is.New(t).NoErr(written.check(mesh.Nodes, 2*policyBound))
+			})
+		})
+	}
+}
+
+// maximumReadShare is the share of the checks, by processes that don't watch the store, after which
+// these may read it while all is well.
+const maximumReadShare = 0.03
+
+// TestFewProcessesReadStoreWhileAllIsWell guards against ages at which all processes read the store,
+// which is paid for by the call and limited in calls a second.
+func TestFewProcessesReadStoreWhileAllIsWell(t *testing.T) {
+	for _, size := range []int{8, 40} {
+		t.Run(fmt.Sprint(size, " processes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reads := atomic.Int64{}
+				hook := &logHook{}
+				mesh := Start(t, Config{Nodes: size, Log: hook.logger})
+				defer mesh.Close()
+				written := newWrites(mesh)
+				written.put()
+				time.Sleep(settleTime)
+				hook.set(event.StoreWatchChanged, func(_ int, line logLine) {
+					if line.Watching {
+						reads.Add(1)
+					}
+				})
+				const seconds = 20
+				for range seconds {
+					time.Sleep(time.Second)
+					written.put()
+				}
+				checks := seconds * float64(time.Second/spread.TimingFor(policyBound).CheckInterval) * float64(len(without(mesh, watchers(mesh))))
+				if share := float64(reads.Load()) / checks; share > maximumReadShare {
+					t.Errorf("share of checks that read the store is %.3f", share)
+				}
+			})
+		})
+	}
+}
+
 // TestUnknownRouteBeforeNewestPolicyIsKnown guards against a final refusal, for a route that was
 // added, by a process that can't know whether its policy is the newest one.
 func TestUnknownRouteBeforeNewestPolicyIsKnown(t *testing.T) {
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -16,9 +16,11 @@
 
 // Times of watching the store.
 const (
-	// watchWait is how long the store is asked to wait for a change. It is short because a wait
-	// that is never answered delays the next change by this time.
+	// watchWait is how long the store is asked to wait for a change at most. It is short because a
+	// wait that is never answered delays the next change by this time.
 	watchWait = 700 * time.Millisecond
+	// minimumWait is how long it is asked to wait at least.
+	minimumWait = 100 * time.Millisecond
 	// answerMargin is how long the answer to a wait may take beyond watchWait.
 	answerMargin = 300 * time.Millisecond
 	// coalesceDelay is the pause after a change, so that several changes in quick succession are
@@ -127,8 +129,8 @@
 func (w *watcher) step(ctx context.Context) error {
 	s, d := w.synchronizer, w.document
 	requestedAt := clock.Now().Time()
-	isWait := w.position > 0
-	entry, err := w.read(ctx)
+	wait := w.nextWait()
+	entry, err := w.read(ctx, wait)
 	if err != nil {
 		return err
 	}
@@ -138,7 +140,7 @@
 	}
 	// A store that was restored from an older copy lacks changes. What it shows then proves nothing.
 	isNewest := w.offeredRevision >= d.revision.Load()
-	s.recordRead(d, newestAt(requestedAt, isWait), provenAt(requestedAt, isWait), isNewest)
+	s.recordRead(d, newestAt(requestedAt, wait), provenAt(requestedAt, wait), isNewest)
 	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
 		s.confirmed.Store(true)
 	}
@@ -150,18 +152,29 @@
 	return nil
 }
 
+// nextWait returns how long to wait for the next change, 0 to read at once. The end of a wait confirms
+// the document, and peers ask for that, so that a wait is short when the last confirmation is old: a
+// wait that ended with a change confirms it for its beginning only.
+func (w *watcher) nextWait() time.Duration {
+	if w.position == 0 {
+		return 0
+	}
+	age, _ := w.synchronizer.age()
+	return min(max(w.synchronizer.timing.WaitAge-age, minimumWait), watchWait)
+}
+
 // newestAt returns when the entry of a read, or of a wait for a change, that began at requestedAt was
 // the newest one in the store. A wait that takes its whole time ends without a change.
-func newestAt(requestedAt time.Time, isWait bool) time.Time {
-	if isWait && clock.Now().Time().Sub(requestedAt) >= watchWait {
-		return requestedAt.Add(watchWait)
+func newestAt(requestedAt time.Time, wait time.Duration) time.Time {
+	if clock.Now().Time().Sub(requestedAt) >= wait {
+		return requestedAt.Add(wait)
 	}
 	return requestedAt
 }
 
 // provenAt returns since when the entry of a read or of a wait proves the policy.
-func provenAt(requestedAt time.Time, isWait bool) time.Time {
-	if isWait {
+func provenAt(requestedAt time.Time, wait time.Duration) time.Time {
+	if wait > 0 {
 		return requestedAt.Add(-maximumWatchLag)
 	}
 	return requestedAt
@@ -185,15 +198,15 @@
 	return nil
 }
 
-// read reads the document at once, or waits for its next change.
-func (w *watcher) read(ctx context.Context) (store.Entry, error) {
+// read waits for the next change of the document, or reads it at once if wait is 0.
+func (w *watcher) read(ctx context.Context, wait time.Duration) (store.Entry, error) {
 	s, d := w.synchronizer, w.document
-	if w.position == 0 {
+	if wait == 0 {
 		return w.get(ctx)
 	}
-	waiting, cancel := context.WithTimeout(ctx, watchWait+answerMargin)
+	waiting, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	entry, err := s.process.Store.Watch(waiting, d.key, w.position, watchWait)
+	entry, err := s.process.Store.Watch(waiting, d.key, w.position, wait)
 	if err != nil && ctx.Err() == nil && waiting.Err() != nil {
 		return w.get(ctx) // The server that held the wait may be down.
 	}
--- a/spread/timing.go
+++ b/spread/timing.go
@@ -15,6 +15,9 @@
 	// Bound is the time within which an accepted revision is in force in each process that reaches
 	// the store.
 	Bound time.Duration
+	// WaitAge is the age of what a process that watches the store knows up to which it waits for a
+	// change; then it must know anew.
+	WaitAge time.Duration
 	// RequestAge is the age of what a process knows above which it asks a process that watches the
 	// store.
 	RequestAge time.Duration
@@ -37,6 +40,7 @@
 // Times as shares of the bound. ReadAge, CheckInterval and two reads, of which the first one is lost,
 // take 0.95 of it.
 const (
+	waitShare        = 0.35
 	requestShare     = 0.3
 	readShare        = 0.5
 	readDelayShare   = 0.2
@@ -51,6 +55,7 @@
 	share := func(part float64) time.Duration { return time.Duration(part * float64(bound)) }
 	return Timing{
 		Bound:         bound,
+		WaitAge:       share(waitShare),
 		RequestAge:    share(requestShare),
 		ReadAge:       share(readShare),
 		ReadDelay:     share(readDelayShare),
