configsync: fewer requests to the processes that watch the store, and fewer still when these don't answer

Cause: asked at 0.3 of the bound, a process got news that was 0.35 s old on average and asked again 0.25 s later; a process that watches asked the others too. Change: asked at 0.45, read at 0.6, with shorter timeouts, so that the sum stays 0.95 of the bound; requests without an answer are followed by pauses that double. Safe: the bound rests on reading the store alone.

--- a/plugin/configsync/request.go
+++ b/plugin/configsync/request.go
@@ -12,11 +12,16 @@
 	"github.com/loomcleat/loomcleat/wire"
 )
 
+// maximumRequestDoublings bounds how often the pause between two requests doubles.
+const maximumRequestDoublings = 5
+
 // keepConfirmed asks the processes that watch the store for their revisions, one at a time, while what
-// this process knows is too old. It stays with one that answers. It runs until ctx is done.
+// this process knows is too old. It stays with one that answers, and pauses for longer with each one
+// that does not: the store is read all the same. It runs until ctx is done.
 func (s *synchronizer) keepConfirmed(ctx context.Context) {
-	for next := rand.IntN(s.process.Settings.StoreWatches + 1); ctx.Err() == nil; {
-		kernel.Pause(ctx, s.timing.CheckInterval)
+	next, failures := rand.IntN(s.process.Settings.StoreWatches+1), 0
+	for ctx.Err() == nil {
+		kernel.Pause(ctx, min(s.timing.CheckInterval<<failures, s.timing.ReadAge))
 		if !s.isOlderThan(s.timing.RequestAge) && !s.proofOlderThan(peerProofShare) {
 			continue
 		}
@@ -24,9 +29,12 @@
 		if len(watchers) == 0 {
 			continue
 		}
-		if !s.requestRevisions(ctx, watchers[next%len(watchers)]) {
-			next++
+		if s.requestRevisions(ctx, watchers[next%len(watchers)]) {
+			failures = 0
+			continue
 		}
+		next++
+		failures = min(failures+1, maximumRequestDoublings)
 	}
 }
 
--- a/spread/timing.go
+++ b/spread/timing.go
@@ -41,12 +41,12 @@
 // take 0.95 of it.
 const (
 	waitShare        = 0.35
-	requestShare     = 0.3
-	readShare        = 0.5
+	requestShare     = 0.45
+	readShare        = 0.6
 	readDelayShare   = 0.2
 	hedgeShare       = 0.1
-	peerTimeoutShare = 0.15
-	readTimeoutShare = 0.2
+	peerTimeoutShare = 0.1
+	readTimeoutShare = 0.15
 	checkShare       = 0.05
 )
 
