--- a/kernel/outbound_test.go
+++ b/kernel/outbound_test.go
@@ -92,9 +92,16 @@
 type documentsStub struct {
 	Documents
 	mayBeOutdated bool
+	// Called before MayBeOutdated returns, if set.
+	before func()
 }
 
-func (d documentsStub) MayBeOutdated() bool { return d.mayBeOutdated }
+func (d documentsStub) MayBeOutdated() bool {
+	if d.before != nil {
+		d.before()
+	}
+	return d.mayBeOutdated
+}
 
 // TestEntryRefusals guards against refusing a request as unroutable before the routes are
 // known, or while a newer policy may have a route.
@@ -109,6 +116,9 @@
 	is.Equal(result.From(err).Code, result.PolicyOutdated)
 	is.Equal(result.From(err).Status(), http.StatusServiceUnavailable)
 	is.True(result.From(err).RetryAfter > 0)
+	p.Documents = documentsStub{before: func() { p.Policy.Store(policy.NewIndex(&policy.Document{Revision: 1000})) }}
+	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
+	is.Equal(result.From(err).Code, result.PolicyOutdated) // a newer policy has come into force just then
 	p.ready.Store(false)
 	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
 	is.Equal(result.From(err).Code, result.NotReady) // never 404 before the policy is known
