--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -21,7 +21,7 @@
 	watchWait = 700 * time.Millisecond
 	// minimumWait is how long it is asked to wait at least.
 	minimumWait = 100 * time.Millisecond
-	// answerMargin is how long the answer to a wait may take beyond watchWait.
+	// answerMargin is how long the answer may take beyond the wait that was asked for.
 	answerMargin = 300 * time.Millisecond
 	// coalesceDelay is the pause after a change, so that several changes in quick succession are
 	// read together.
