configsync: a delayed answer with a change confirms the policy for the beginning of its wait only

Cause: found in reading. A wait that ended with a change was taken to confirm the policy until the wait's full time when its answer arrived later than that, though it may have been given at once and delayed. What the process knew could look newer than it was, by 0.7 s at most. Change: only a wait without a change counts from its end. Comments of Proof and of package spread that spoke of the estimate that is gone. Safe: the age can only be higher.

--- a/plugin/configsync/age_test.go
+++ b/plugin/configsync/age_test.go
@@ -58,3 +58,15 @@
 	process.Documents.ObservePeerRevisions("127.0.0.1:1", wire.Revisions{Policy: 7}, time.Time{})
 	is.True(process.Documents.MayBeOutdated())
 }
+
+// TestDelayedChangeConfirmsBeginningOfWait guards against the answer to a wait that came with a change,
+// was delayed, and is taken to show that nothing has changed until the end of the wait.
+func TestDelayedChangeConfirmsBeginningOfWait(t *testing.T) {
+	is := is.New(t)
+	requestedAt := clock.Now().Time().Add(-time.Second)
+	const wait = 700 * time.Millisecond
+	is.Equal(newestAt(requestedAt, wait, true), requestedAt.Add(wait))
+	is.Equal(newestAt(requestedAt, wait, false), requestedAt)
+	is.Equal(newestAt(requestedAt, 2*time.Second, true), requestedAt) // an early answer
+	is.Equal(newestAt(requestedAt, 0, true), requestedAt)             // a read
+}
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -135,12 +135,14 @@
 		return err
 	}
 	s.process.ObserveStoreEra(entry.Era)
+	before := w.offeredRevision
 	if err := w.offerEntry(ctx, entry); err != nil {
 		return err
 	}
+	isUnchanged := w.offeredRevision == before
 	// A store that was restored from an older copy lacks changes. What it shows then proves nothing.
 	isNewest := w.offeredRevision >= d.revision.Load()
-	s.recordRead(d, newestAt(requestedAt, wait), provenAt(requestedAt, wait), isNewest)
+	s.recordRead(d, newestAt(requestedAt, wait, isUnchanged), provenAt(requestedAt, wait), isNewest)
 	if d.name == wire.DocumentPolicy && (entry.Exists || !s.process.Settings.PolicyRequired) {
 		s.confirmed.Store(true)
 	}
@@ -164,9 +166,10 @@
 }
 
 // newestAt returns when the entry of a read, or of a wait for a change, that began at requestedAt was
-// the newest one in the store. A wait that takes its whole time ends without a change.
-func newestAt(requestedAt time.Time, wait time.Duration) time.Time {
-	if clock.Now().Time().Sub(requestedAt) >= wait {
+// the newest one in the store. A wait without a change takes its whole time; the answer with a change
+// may have been given at any time since it began, and have been delayed.
+func newestAt(requestedAt time.Time, wait time.Duration, isUnchanged bool) time.Time {
+	if isUnchanged && clock.Now().Time().Sub(requestedAt) >= wait {
 		return requestedAt.Add(wait)
 	}
 	return requestedAt
--- a/spread/proof.go
+++ b/spread/proof.go
@@ -4,8 +4,7 @@
 
 // Proof is a proven bound on the age of a document: at the recorded time, or later, the
 // document was the newest revision. It holds whatever messages were delayed or lost since and
-// whichever processes were suspended. Anything that must end within a given time of a
-// revocation, such as trust in a key, must use a Proof; Freshness is only an estimate.
+// whichever processes were suspended. Whoever records it must know that much.
 //
 // Times must be those of a clock that keeps running while the machine is suspended (package
 // clock); otherwise a proof would look too recent after a suspension. The zero value is no
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -1,6 +1,6 @@
 // Package spread distributes a document with increasing revisions to all processes of a mesh.
-// It decides which processes watch the store, which revision a process accepts, and how up to
-// date a process's document is, as an estimate and as a proven bound.
+// It decides which processes watch the store, which revision a process accepts, from which peers it
+// fetches a higher one, and when it reads the store itself.
 //
 // A few processes watch the store. All others receive new revisions from their peers, whose
 // messages carry the revisions that they hold. A process accepts only higher revisions,
