configsync: one question for refusals that rest on the policy, one way to believe a reply

Cause: the callers of MayBeOutdated each compared the policy again for one that had come into force meanwhile, in kernel and in plug-in tenant, and plug-in routing did not. The age for the store and the proof for keys were taken from a reply by two functions of the same shape. A wait counted as unchanged by the revision, although an entry written again under the same revision is a change. Each gossip message took two locks, also with no news. Timing.Bound was read by nobody. Change: MayBeOutdated takes the revision that the refusal rests on and compares it last; recordReply records both ages; isOffered says whether an entry is known; a message without a higher revision returns at once; the field is gone. Safe: the tests keep their assertions, their stubs answer for a revision; the age can only be higher. Result: plugin/configsync TestReplacedPolicyIsOutdated fails without the comparison; plugin/..., kernel, spread, internal/virtual passed.

--- a/kernel/outbound_test.go
+++ b/kernel/outbound_test.go
@@ -88,19 +88,19 @@
 	is.True(call.External) // an unknown parent is ignored
 }
 
-// documentsStub is a Documents whose policy may be outdated.
+// documentsStub is a Documents that knows the newest revision of the policy.
 type documentsStub struct {
 	Documents
-	mayBeOutdated bool
+	newest uint64
 	// Called before MayBeOutdated returns, if set.
 	before func()
 }
 
-func (d documentsStub) MayBeOutdated() bool {
+func (d documentsStub) MayBeOutdated(revision uint64) bool {
 	if d.before != nil {
 		d.before()
 	}
-	return d.mayBeOutdated
+	return revision < d.newest
 }
 
 // TestEntryRefusals guards against refusing a request as unroutable before the routes are
@@ -111,12 +111,12 @@
 	p.Documents = documentsStub{}
 	_, err := p.entryCall(entryRequest("/b/x", "first", "500"))
 	is.Equal(result.From(err).Code, result.NoRoute)
-	p.Documents = documentsStub{mayBeOutdated: true}
+	p.Documents = documentsStub{newest: p.Policy.Load().Revision() + 1}
 	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
 	is.Equal(result.From(err).Code, result.PolicyOutdated)
 	is.Equal(result.From(err).Status(), http.StatusServiceUnavailable)
 	is.True(result.From(err).RetryAfter > 0)
-	p.Documents = documentsStub{before: func() { p.Policy.Store(policy.NewIndex(&policy.Document{Revision: 1000})) }}
+	p.Documents = documentsStub{newest: 1000, before: func() { p.Policy.Store(policy.NewIndex(&policy.Document{Revision: 1000})) }}
 	_, err = p.entryCall(entryRequest("/b/x", "first", "500"))
 	is.Equal(result.From(err).Code, result.PolicyOutdated) // a newer policy has come into force just then
 	p.ready.Store(false)
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -21,10 +21,10 @@
 	// PolicyProof returns the age of the last proof that the policy of this process was
 	// the newest one. known is false when there is no proof.
 	PolicyProof(now time.Time) (age time.Duration, known bool)
-	// MayBeOutdated reports whether this process can't know that its policy is the newest one: a
-	// higher revision is known to exist, or neither the store nor a peer has confirmed the policy
-	// lately. It is false without a store.
-	MayBeOutdated() bool
+	// MayBeOutdated reports whether this process can't know that the given revision of the policy is
+	// the newest one: a higher one is in force or, with a store, known to exist, or neither the store
+	// nor a peer has confirmed the policy lately.
+	MayBeOutdated(revision uint64) bool
 	// Offer adopts a document from another source if it is newer.
 	Offer(ctx context.Context, name wire.DocumentName, data []byte) error
 	// Subscribe registers adopt, which is called on the control loop for each new
--- a/kernel/target.go
+++ b/kernel/target.go
@@ -18,8 +18,7 @@
 
 // routeTarget returns the target of a request by the route table of the policy tree. When no route
 // matches, it returns a result.NoRoute error, or a result.PolicyOutdated error if a newer policy may
-// have one. Without a route table, service returns the
-// name of the service.
+// have one. Without a route table, service returns the name of the service.
 func (p *Process) routeTarget(r *http.Request, service func(*http.Request) string) (target, error) {
 	index := p.Policy.Load()
 	path := r.URL.EscapedPath()
@@ -38,8 +37,7 @@
 // noRoute returns the error for a request to which no route of a revision leads. Callers take
 // result.NoRoute for final and don't try again.
 func (p *Process) noRoute(revision uint64, address string) error {
-	// The policy is read again after that: what was confirmed may be one that has replaced it.
-	if p.Documents.MayBeOutdated() || p.Policy.Load().Revision() != revision {
+	if p.Documents.MayBeOutdated(revision) {
 		return result.New(result.PolicyOutdated, "no route of revision %d leads to %s, which may not be the newest revision", revision, address).WithUsualRetryAfter()
 	}
 	return result.New(result.NoRoute, "no route of revision %d leads to %s", revision, address)
--- a/plugin/configsync/age.go
+++ b/plugin/configsync/age.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/spread"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -23,17 +24,25 @@
 	}
 }
 
-// recordConfirmation records a peer's age of its policy in a reply. requestedAt is when this process
-// sent the request, zero for an unsolicited message, which may have been on its way for any time. If
-// the policy of this process is newer than the peer's, it was written later, so that the age holds for
-// it too.
-func (s *synchronizer) recordConfirmation(revisions wire.Revisions, requestedAt time.Time) {
-	if requestedAt.IsZero() || revisions.Age == 0 || revisions.Policy > s.documents[wire.DocumentPolicy].revision.Load() {
+// recordReply records the ages that a peer states of its policy in a reply. requestedAt is when this
+// process sent the request, zero for an unsolicited message, which may have been on its way for any
+// time and proves nothing. If the policy of this process is newer than the peer's, it was written
+// later, so that the ages hold for it too.
+func (s *synchronizer) recordReply(revisions wire.Revisions, requestedAt time.Time) {
+	if requestedAt.IsZero() || revisions.Policy > s.documents[wire.DocumentPolicy].revision.Load() {
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.newest.Record(requestedAt.Add(-time.Duration(revisions.Age) * time.Millisecond))
+	recordAge(&s.newest, requestedAt, revisions.Age)
+	recordAge(&s.proof, requestedAt, revisions.ProvenAge)
+}
+
+// recordAge records an age that a reply states, in milliseconds, 0 for none.
+func recordAge(proof *spread.Proof, requestedAt time.Time, age int64) {
+	if age > 0 {
+		proof.Record(requestedAt.Add(-time.Duration(age) * time.Millisecond))
+	}
 }
 
 // age returns the time since the policy was known to be the newest one, and false if it never was.
@@ -50,10 +59,15 @@
 }
 
 // MayBeOutdated implements kernel.Documents.
-func (s *synchronizer) MayBeOutdated() bool {
-	if s.process.Store == nil {
-		return false
-	}
+func (s *synchronizer) MayBeOutdated(revision uint64) bool {
+	isUnconfirmed := s.process.Store != nil && s.isUnconfirmed()
+	// Read last: what was confirmed may be a policy that has replaced the given one.
+	return isUnconfirmed || s.documents[wire.DocumentPolicy].revision.Load() > revision
+}
+
+// isUnconfirmed reports whether a higher revision of the policy is known to exist, or the one in force
+// was not known to be the newest one lately.
+func (s *synchronizer) isUnconfirmed() bool {
 	s.mutex.Lock()
 	isOutdated := s.documents[wire.DocumentPolicy].fetches.IsOutdated()
 	s.mutex.Unlock()
--- a/plugin/configsync/age_test.go
+++ b/plugin/configsync/age_test.go
@@ -43,7 +43,7 @@
 			age, known := s.age()
 			is.Equal(known, c.known)
 			is.True(age >= c.minimum && age < c.minimum+slow)
-			is.Equal(s.MayBeOutdated(), c.outdated)
+			is.Equal(s.MayBeOutdated(s.documents[wire.DocumentPolicy].revision.Load()), c.outdated)
 		})
 	}
 }
@@ -54,9 +54,19 @@
 	is := is.New(t)
 	process := newProcess(t, gatewaySettings(), &hangingStore{})
 	process.Documents.ObservePeerRevisions("127.0.0.1:1", wire.Revisions{Age: 5}, clock.Now().Time())
-	is.True(!process.Documents.MayBeOutdated())
+	is.True(!process.Documents.MayBeOutdated(0))
 	process.Documents.ObservePeerRevisions("127.0.0.1:1", wire.Revisions{Policy: 7}, time.Time{})
-	is.True(process.Documents.MayBeOutdated())
+	is.True(process.Documents.MayBeOutdated(0))
+}
+
+// TestReplacedPolicyIsOutdated guards against a refusal by a policy that has been replaced, because the
+// one in its place was confirmed.
+func TestReplacedPolicyIsOutdated(t *testing.T) {
+	is := is.New(t)
+	w := startWatcher(t, &hangingStore{revision: 5})
+	is.NoErr(w.step(t.Context()))
+	is.True(!w.synchronizer.MayBeOutdated(5))
+	is.True(w.synchronizer.MayBeOutdated(4))
 }
 
 // TestDelayedChangeConfirmsBeginningOfWait guards against the answer to a wait that came with a change,
--- a/plugin/configsync/fetch.go
+++ b/plugin/configsync/fetch.go
@@ -16,6 +16,9 @@
 // observeRevision records that a peer holds a revision of a document, and fetches it if it is higher
 // than that of this process.
 func (s *synchronizer) observeRevision(peer string, d *document, revision uint64) {
+	if revision <= d.revision.Load() {
+		return
+	}
 	s.mutex.Lock()
 	isNews := d.fetches.Observe(clock.Now().Time(), peer, revision)
 	s.mutex.Unlock()
--- a/plugin/configsync/peers.go
+++ b/plugin/configsync/peers.go
@@ -16,8 +16,7 @@
 		s.observeRevision(peer, d, revisions.Of(d.name))
 	}
 	s.process.ObserveStoreEra(revisions.StoreEra)
-	s.recordConfirmation(revisions, requestedAt)
-	s.recordPeerProof(revisions, requestedAt)
+	s.recordReply(revisions, requestedAt)
 	policyKnown := s.documents[wire.DocumentPolicy].revision.Load()
 	if revisions.Confirmed && revisions.Policy <= policyKnown {
 		s.confirmed.Store(true)
--- a/plugin/configsync/proof.go
+++ b/plugin/configsync/proof.go
@@ -4,21 +4,8 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
-	"github.com/loomcleat/loomcleat/wire"
 )
 
-// recordPeerProof records the proof in a peer's reply. requestedAt is when this process sent the
-// request, zero for an unsolicited message, which proves nothing. If the policy of this
-// process is newer than the peer's, it was written later, so that the proof holds for it too.
-func (s *synchronizer) recordPeerProof(revisions wire.Revisions, requestedAt time.Time) {
-	if requestedAt.IsZero() || revisions.ProvenAge == 0 || revisions.Policy > s.documents[wire.DocumentPolicy].revision.Load() {
-		return
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.proof.Record(requestedAt.Add(-time.Duration(revisions.ProvenAge) * time.Millisecond))
-}
-
 // PolicyProof implements kernel.Documents.
 func (s *synchronizer) PolicyProof(now time.Time) (age time.Duration, known bool) {
 	s.mutex.Lock()
--- a/plugin/configsync/watch.go
+++ b/plugin/configsync/watch.go
@@ -135,11 +135,10 @@
 		return err
 	}
 	s.process.ObserveStoreEra(entry.Era)
-	before := w.offeredRevision
+	isUnchanged := w.isOffered(entry)
 	if err := w.offerEntry(ctx, entry); err != nil {
 		return err
 	}
-	isUnchanged := w.offeredRevision == before
 	// A store that was restored from an older copy lacks changes. What it shows then proves nothing.
 	isNewest := w.offeredRevision >= d.revision.Load()
 	s.recordRead(d, newestAt(requestedAt, wait, isUnchanged), provenAt(requestedAt, wait), isNewest)
@@ -190,7 +189,7 @@
 		w.offeredIndex, w.offeredRevision = 0, 0
 		return nil
 	}
-	if entry.Index == w.offeredIndex && entry.Era == w.offeredEra {
+	if w.isOffered(entry) {
 		return nil
 	}
 	revision, err := w.synchronizer.offer(ctx, w.document, entry.Value, "store")
@@ -201,6 +200,14 @@
 	return nil
 }
 
+// isOffered reports whether an entry is the one that was offered last, or is still absent.
+func (w *watcher) isOffered(entry store.Entry) bool {
+	if !entry.Exists {
+		return w.offeredIndex == 0
+	}
+	return entry.Index == w.offeredIndex && entry.Era == w.offeredEra
+}
+
 // read waits for the next change of the document, or reads it at once if wait is 0.
 func (w *watcher) read(ctx context.Context, wait time.Duration) (store.Entry, error) {
 	s, d := w.synchronizer, w.document
--- a/plugin/routing/route.go
+++ b/plugin/routing/route.go
@@ -48,7 +48,7 @@
 
 func (r *router) noNode(call *kernel.Call) error {
 	if !call.Policy.Known && r.balancer(call.Service) == nil {
-		if r.process.Documents.MayBeOutdated() {
+		if r.process.Documents.MayBeOutdated(r.process.Policy.Load().Revision()) {
 			return result.New(result.PolicyOutdated, "there is no service %q in a policy that may not be the newest one", call.Service).WithUsualRetryAfter()
 		}
 		return result.New(result.UnknownService, "there is no service %q", call.Service)
--- a/plugin/tenant/authenticate.go
+++ b/plugin/tenant/authenticate.go
@@ -26,8 +26,8 @@
 type authenticator struct {
 	policy func() *policy.Index
 	proof  func(now time.Time) (age time.Duration, known bool)
-	// Whether a newer policy may exist, which may have more keys.
-	mayBeOutdated func() bool
+	// Whether a newer policy than the given revision may exist, which may have more keys.
+	mayBeOutdated func(revision uint64) bool
 	// Age up to which a proof is valid, 0 for no proof needed.
 	maximumProofAge time.Duration
 	writeTenant     func(header http.Header, tenant string)
@@ -76,9 +76,7 @@
 // keyUnknown returns the error for a request without a key of a revision. Callers take
 // result.KeyUnknown for final and don't try again.
 func (a *authenticator) keyUnknown(call *kernel.Call, revision uint64) error {
-	hasKey := call.Credential != ""
-	// The policy is read again after that: what was confirmed may be one that has replaced it.
-	if hasKey && (a.mayBeOutdated() || a.policy().Revision() != revision) {
+	if call.Credential != "" && a.mayBeOutdated(revision) {
 		return result.New(result.PolicyOutdated, "revision %d, which may not be the newest one, has no tenant with the key of this request", revision).WithUsualRetryAfter()
 	}
 	return result.New(result.KeyUnknown, "revision %d has no tenant with the key of this request, and its route is not public", revision)
--- a/plugin/tenant/tenant_test.go
+++ b/plugin/tenant/tenant_test.go
@@ -24,7 +24,7 @@
 	dialect := wire.Dialect{}
 	return &authenticator{
 		policy:          func() *policy.Index { return index },
-		mayBeOutdated:   func() bool { return false },
+		mayBeOutdated:   func(uint64) bool { return false },
 		proof:           func(time.Time) (time.Duration, bool) { return age, age >= 0 },
 		maximumProofAge: maximumProofAge(revocation),
 		writeTenant:     dialect.WriteTenant,
@@ -100,15 +100,15 @@
 		return result.From(a.authenticate(&kernel.Call{External: true, Credential: key, Header: http.Header{}}))
 	}
 	is.Equal(refuse("secret-3").Code, result.KeyUnknown)
-	a.mayBeOutdated = func() bool { return true }
+	a.mayBeOutdated = func(revision uint64) bool { return revision < keyedPolicy().Revision+1 }
 	is.Equal(refuse("secret-3").Code, result.PolicyOutdated)
 	is.True(refuse("secret-3").RetryAfter > 0)
 	is.Equal(refuse("").Code, result.KeyUnknown) // no policy has a tenant without a key
 	newer := keyedPolicy()
 	newer.Revision++
-	a.mayBeOutdated = func() bool {
+	a.mayBeOutdated = func(revision uint64) bool {
 		a.policy = func() *policy.Index { return policy.NewIndex(newer) }
-		return false
+		return revision < newer.Revision
 	}
 	is.Equal(refuse("secret-3").Code, result.PolicyOutdated)
 }
--- a/spread/timing.go
+++ b/spread/timing.go
@@ -12,9 +12,6 @@
 //
 // Before that it asks peers, so that the store has few readers while these answer.
 type Timing struct {
-	// Bound is the time within which an accepted revision is in force in each process that reaches
-	// the store.
-	Bound time.Duration
 	// WaitAge is the age of what a process that watches the store knows up to which it waits for a
 	// change; then it must know anew.
 	WaitAge time.Duration
@@ -50,11 +47,11 @@
 	checkShare       = 0.05
 )
 
-// TimingFor returns the times for a bound.
+// TimingFor returns the times for a bound: the time within which an accepted revision is in force in
+// each process that reaches the store.
 func TimingFor(bound time.Duration) Timing {
 	share := func(part float64) time.Duration { return time.Duration(part * float64(bound)) }
 	return Timing{
-		Bound:         bound,
 		WaitAge:       share(waitShare),
 		RequestAge:    share(requestShare),
 		ReadAge:       share(readShare),
