--- a/internal/virtual/network.go
+++ b/internal/virtual/network.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/loomcleat/loomcleat/kernel"
 )
 
 // Network is a TCP network in memory. Hosts are IP addresses.
@@ -102,7 +104,8 @@
 			return nil, ctx.Err()
 		}
 	}
-	if !pause(ctx, 2*n.delay) {
+	kernel.Pause(ctx, 2*n.delay)
+	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
 	n.mutex.Lock()
@@ -122,18 +125,6 @@
 	}
 }
 
-// pause waits for a time. It returns false if ctx ends first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // listener is a bound address.
 type listener struct {
 	network  *Network
--- a/internal/virtual/policy_test.go
+++ b/internal/virtual/policy_test.go
@@ -1,8 +1,6 @@
 package virtual
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -30,18 +28,6 @@
 
 const testHost = "shop.example"
 
-// putRoutes writes a configuration with one route for each version up to the given one.
-func putRoutes(m *Mesh, version int) {
-	var paths bytes.Buffer
-	for i := 1; i <= version; i++ {
-		if i > 1 {
-			paths.WriteByte(',')
-		}
-		fmt.Fprintf(&paths, `{"name":"route-%d","path_prefix":"/route-%d/","type":"safe","timeout":"3s","priority":1,"service":"service","max_attempts":2}`, i, i)
-	}
-	m.Store.PutConfiguration(fmt.Appendf(nil, `{"version":%d,"hosts":[{"host":%q,"paths":[%s]}]}`, version, testHost, paths.Bytes()))
-}
-
 // watchers returns the nodes that watch the store, as the first node sees the mesh.
 func watchers(m *Mesh) []*Node {
 	ids := spread.Watchers(kernel.LiveIDs(*m.Nodes[0].Members.Load()), m.Nodes[0].Settings.StoreWatches)
@@ -79,48 +65,6 @@
 	return rest
 }
 
-// writes are the configurations that a test has written, by time.
-type writes struct {
-	mesh *Mesh
-	at   map[uint64]time.Time
-	last uint64
-}
-
-func newWrites(m *Mesh) *writes { return &writes{mesh: m, at: map[uint64]time.Time{}} }
-
-// put writes the next version.
-func (w *writes) put() {
-	w.last++
-	putRoutes(w.mesh, int(w.last))
-	w.at[w.last] = time.Now()
-}
-
-// overdue returns the lowest version that a process lacks later than the bound after its write, 0 for
-// none.
-func (w *writes) overdue(node *Node) uint64 {
-	held := node.Documents.Revisions().Policy
-	if held < w.last && time.Since(w.at[held+1]) > policyBound {
-		return held + 1
-	}
-	return 0
-}
-
-// pollInterval is the time between two looks at all processes.
-const pollInterval = 5 * time.Millisecond
-
-// check looks at processes for a time. It returns the first one that lacks a version later than the
-// bound after its write.
-func (w *writes) check(nodes []*Node, duration time.Duration) error {
-	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(pollInterval) {
-		for _, node := range nodes {
-			if version := w.overdue(node); version > 0 {
-				return fmt.Errorf("%s lacks version %d, %s after it was written", node.ID, version, time.Since(w.at[version]))
-			}
-		}
-	}
-	return nil
-}
-
 // TestPolicyInForceAlthoughWatchersAreSilent guards against a process that goes on with an old
 // policy because all processes that watch the store are frozen, cut off or without power.
 func TestPolicyInForceAlthoughWatchersAreSilent(t *testing.T) {
@@ -178,52 +122,6 @@
 	}
 }
 
-// logHook calls a function for each log line of one event, with the node that wrote it.
-type logHook struct {
-	mutex  sync.Mutex
-	number event.Number
-	onLine func(node int, line logLine)
-}
-
-// logLine is a log line, as far as tests read it.
-type logLine struct {
-	Event event.Number `json:"event"`
-	By    string       `json:"by"`
-	// Whether the process reads the store, in event.StoreWatchChanged.
-	Watching bool `json:"watching"`
-}
-
-// set replaces the function; nil for none.
-func (h *logHook) set(number event.Number, onLine func(node int, line logLine)) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	h.number, h.onLine = number, onLine
-}
-
-// logger returns the logger of a node.
-func (h *logHook) logger(node int) *event.Logger {
-	return event.NewLogger(event.Options{Output: nodeLog{hook: h, node: node}, Level: "info", JSON: true})
-}
-
-type nodeLog struct {
-	hook *logHook
-	node int
-}
-
-// Write implements io.Writer.
-func (l nodeLog) Write(line []byte) (int, error) {
-	var read logLine
-	if err := json.Unmarshal(line, &read); err != nil {
-		return 0, err
-	}
-	l.hook.mutex.Lock()
-	defer l.hook.mutex.Unlock()
-	if l.hook.onLine != nil && read.Event == l.hook.number {
-		l.hook.onLine(l.node, read)
-	}
-	return len(line), nil
-}
-
 // connectionTime is less than the time for which a process keeps an idle connection to a peer open.
 const connectionTime = 250 * time.Millisecond
 
