exchange: the end of a connection ends a response only if the request has arrived

Callers saw: a back end answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the part reached the caller as a complete answer, through one node or two, for parts of any size. Cause: Linux reports a reset once, to whoever makes the next system call. The goroutine that writes the upload got it, and the read that followed returned the end of the connection, which ends a body without a length. A back end that ended after it had read all that had arrived sent an orderly close first and the reset only in answer to more of the upload, with the same effect. Change: at the end of a connection that also ends the body, the read waits until the upload is written (or the context ends), fails if the write failed, then waits until all bytes are acknowledged, and fails if the connection was reset (unacknowledged bytes and poll, which no other goroutine can consume). Not until then is the response complete. A side effect that callers lost: the upload of a whole early response was cut off at its end; it is now read on. Ruled out: a pause after the write error (the order is a race, and the read may come long before); TCP_INFO (the poll says the same).

--- /dev/null
+++ b/e2e/brokenanswer_test.go
@@ -0,0 +1,167 @@
+package e2e
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+)
+
+// uploadLength is more than the buffers of all connections on the way hold, in bytes.
+const uploadLength = 32 << 20
+
+// rawBackEnd serves one request of a connection with bytes of its own choice. The function gets the
+// X-Attempt-Id line that an answer needs.
+type rawBackEnd func(conn *net.TCPConn, request *http.Request, idLine string)
+
+// startRawBackEnd starts a back end and returns its address.
+func startRawBackEnd(t *testing.T, serve rawBackEnd) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					serve(conn.(*net.TCPConn), request, "X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\n")
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// startRawMesh starts a node beside a raw back end of the service deep, and an entry to it, which is
+// the node of another service.
+func startRawMesh(t *testing.T, serve rawBackEnd) (entry, deep *platformNode) {
+	t.Helper()
+	stub := metastore.NewServer()
+	store := httptest.NewServer(stub.Handler())
+	t.Cleanup(store.Close)
+	stub.Put("op/config", platformConfiguration(3, "front"))
+	deep = newPlatformNode(t, "deep")
+	deep.slots = 64
+	deep.startWithBackEnd(t, store.URL, startRawBackEnd(t, serve))
+	entry = startPlatformNode(t, store.URL, "front")
+	entry.awaitReady(t)
+	deep.awaitReady(t)
+	eventually(t, "the entry to know the node", func() bool {
+		return entry.get("/deep/x", "").status != http.StatusServiceUnavailable
+	})
+	return entry, deep
+}
+
+// upload sends a long request to the address for callers and returns the status and the body of the
+// answer, and the error with which the connection or the body ended.
+func (n *platformNode) upload(t *testing.T, version, path string, length int64) (status int, body []byte, err error) {
+	t.Helper()
+	conn := n.dial(t)
+	defer conn.Close()
+	request := fmt.Sprintf("POST %s HTTP/%s\r\nHost: shop.example\r\nX-Attempt-Id: upload%d\r\nX-Deadline-Remaining: 5000\r\nContent-Length: %d\r\n\r\n",
+		path, version, attemptCount.Add(1), length)
+	written := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(conn, io.MultiReader(strings.NewReader(request), io.LimitReader(zeros{}, length)))
+		written <- err
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	body, err = io.ReadAll(response.Body)
+	if err == nil && version == "1.0" {
+		err = <-written // the system tells a reset to the reader or to the writer, not to both
+	}
+	return response.StatusCode, body, err
+}
+
+// zeros is an endless source of bytes.
+type zeros struct{}
+
+func (zeros) Read(data []byte) (int, error) {
+	clear(data)
+	return len(data), nil
+}
+
+// brokenUploads is the number of uploads of each kind. Which process first learns of a reset is a race.
+const brokenUploads = 15
+
+// TestResetDuringUploadReachesCaller guards against a caller that takes a part of an answer without
+// a length for the whole, since the back end reset the connection while the upload was being written.
+func TestResetDuringUploadReachesCaller(t *testing.T) {
+	const partHeader = "HTTP/1.1 200 OK\r\n%s\r\n%s"
+	sizes := []int{1, 3000, 100 << 10}
+	var served atomic.Int64
+	entry, deep := startRawMesh(t, func(conn *net.TCPConn, request *http.Request, idLine string) {
+		if request.ContentLength <= 0 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", idLine)
+			return
+		}
+		_, _ = io.CopyN(io.Discard, request.Body, 64<<10)
+		number := int(served.Add(1))
+		_, _ = fmt.Fprintf(conn, partHeader, idLine, strings.Repeat("x", sizes[number%len(sizes)]))
+		time.Sleep(time.Duration(number%2) * 5 * time.Millisecond)
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+	for name, node := range map[string]*platformNode{"by another node": entry, "by the node of the back end": deep} {
+		for _, version := range []string{"1.1"} {
+			t.Run(name+", HTTP/"+version, func(t *testing.T) {
+				for range brokenUploads {
+					status, body, err := node.upload(t, version, "/deep/x", uploadLength)
+					if err == nil && status == http.StatusOK {
+						t.Fatalf("the caller got %d bytes as a complete answer", len(body))
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyAnswerWithoutLengthReachesCaller guards against refusing or truncating a whole answer
+// without a length whose back end reads the rest of the upload, and against truncating the upload.
+func TestEarlyAnswerWithoutLengthReachesCaller(t *testing.T) {
+	is := is.New(t)
+	const answerLength = 300_000
+	uploaded := make(chan int64, 1)
+	entry, deep := startRawMesh(t, func(conn *net.TCPConn, request *http.Request, idLine string) {
+		if request.ContentLength <= 0 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", idLine)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", idLine, strings.Repeat("x", answerLength))
+		_ = conn.CloseWrite()
+		n, err := io.Copy(io.Discard, request.Body)
+		if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Error(err)
+		}
+		uploaded <- n
+	})
+	for _, node := range []*platformNode{entry, deep} {
+		for _, version := range []string{"1.1"} {
+			status, body, err := node.upload(t, version, "/deep/x", uploadLength)
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.Equal(len(body), answerLength)
+			is.Equal(<-uploaded, int64(uploadLength))
+		}
+	}
+}
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/transport/socket"
 )
 
 // conn is a connection that carries one exchange at a time.
@@ -30,7 +32,15 @@
 	headBudget       int64         // remaining bytes allowed before the body
 	reader           *bufio.Reader // nil between exchanges
 	stopContextWatch func() bool   // unregisters the function that closes the connection when the context ends
-	sent             chan error    // result of a background write; nil if the write is synchronous
+	upload           *upload       // nil if the request was written before the response is read
+	untilClose       bool          // the body of the response ends with the connection
+	contextDone      <-chan struct{}
+}
+
+// upload is the write of a request in the background.
+type upload struct {
+	done chan struct{} // closed at the end of the write
+	err  error         // set before done is closed
 }
 
 // Bounds of an exchange.
@@ -60,8 +70,21 @@
 var (
 	errHeadTooLong = errors.New("status line and headers of the response exceed 1 MiB")
 	errInterim     = errors.New("8 interim responses without a final one")
+	// errContextEnded ends the wait for the rest of a request.
+	errContextEnded = errors.New("the context ended before the request was written")
 )
 
+// brokenEndError is the end of a connection that is not the end of the response.
+type brokenEndError struct {
+	cause error
+}
+
+func (e *brokenEndError) Error() string {
+	return fmt.Sprintf("the connection ended before the response: %v", e.cause)
+}
+
+func (e *brokenEndError) Unwrap() error { return e.cause }
+
 // Read implements net.Conn. It limits the number of bytes before the body.
 func (c *conn) Read(data []byte) (int, error) {
 	if c.headBudget <= 0 {
@@ -69,9 +92,26 @@
 	}
 	n, err := c.Conn.Read(data)
 	c.headBudget -= int64(n)
+	if errors.Is(err, io.EOF) && c.untilClose {
+		return n, c.checkEnd()
+	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the end of the connection is that of the response, whose length is not
+// told otherwise. This is known when the request has been written and has arrived: a server that
+// broke off would have reset the connection when more of the request arrived. Whichever of the
+// two goroutines meets a reset first, the other one may only see the end of the connection.
+func (c *conn) checkEnd() error {
+	if err := c.awaitUpload(); err != nil {
+		return &brokenEndError{cause: err}
+	}
+	if err := socket.AwaitDelivery(c.Conn); err != nil {
+		return &brokenEndError{cause: err}
+	}
+	return io.EOF
+}
+
 // Write implements net.Conn. It counts the bytes of the request.
 func (c *conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
@@ -85,7 +125,7 @@
 func (c *conn) exchange(ctx context.Context, request *http.Request) (*http.Response, error) {
 	c.written.Store(0)
 	c.headBudget = maximumHead
-	c.sent = nil
+	c.upload, c.untilClose, c.contextDone = nil, false, ctx.Done()
 	c.reader, _ = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c)
 	c.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
@@ -99,6 +139,7 @@
 		return nil, err
 	}
 	c.headBudget = math.MaxInt64
+	c.untilClose = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	response.Body = c.newBody(response)
 	return response, nil
 }
@@ -109,14 +150,14 @@
 	if request.ContentLength >= 0 && request.ContentLength <= maximumInlineBody {
 		return c.write(request)
 	}
-	sent := make(chan error, 1)
-	c.sent = sent
+	background := &upload{done: make(chan struct{})}
+	c.upload = background
 	go func() {
-		err := c.write(request)
-		if err != nil {
+		defer close(background.done)
+		background.err = c.write(request)
+		if background.err != nil {
 			_ = c.SetReadDeadline(time.Now().Add(finalReadTimeout))
 		}
-		sent <- err
 	}()
 	return nil
 }
@@ -134,6 +175,20 @@
 	return writer.Flush()
 }
 
+// awaitUpload waits until the request has been written. It returns the error of the write, or
+// errContextEnded.
+func (c *conn) awaitUpload() error {
+	if c.upload == nil {
+		return nil
+	}
+	select {
+	case <-c.upload.done:
+		return c.upload.err
+	case <-c.contextDone:
+		return errContextEnded
+	}
+}
+
 // readHead reads the head of the final response and skips interim ones.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	for range maximumInterim {
@@ -180,12 +235,12 @@
 
 // requestWritten reports whether the request has been written completely.
 func (c *conn) requestWritten() bool {
-	if c.sent == nil {
+	if c.upload == nil {
 		return true
 	}
 	select {
-	case err := <-c.sent:
-		return err == nil
+	case <-c.upload.done:
+		return c.upload.err == nil
 	default:
 		return false
 	}
