kernel: an answer that breaks off resets the connection of an HTTP/1.0 caller

Callers saw: an answer that broke off, of any form, reached a caller of HTTP/1.0 as a complete one. Cause: the process closes the connection when an answer breaks off. That is visible in a body with a length or in chunks, but callers of HTTP/1.0 get a body without a length, whose end is the close. Change: the connection of such a request is reset when its handler aborts. Result: without the change e2e TestTruncatedAnswerReachesHTTP10Caller fails at its first request; with it it passes, and TestResetDuringUploadReachesCaller passes for callers of HTTP/1.0 too (3 runs).

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -123,7 +123,7 @@
 		_ = conn.Close()
 	})
 	for name, node := range map[string]*platformNode{"by another node": entry, "by the node of the back end": deep} {
-		for _, version := range []string{"1.1"} {
+		for _, version := range []string{"1.1", "1.0"} {
 			t.Run(name+", HTTP/"+version, func(t *testing.T) {
 				for range brokenUploads {
 					status, body, err := node.upload(t, version, "/deep/x", uploadLength)
@@ -136,6 +136,26 @@
 	}
 }
 
+// TestTruncatedAnswerReachesHTTP10Caller guards against a caller whose version has no other end of an
+// answer than that of the connection: an answer that breaks off must not end as a whole one does.
+func TestTruncatedAnswerReachesHTTP10Caller(t *testing.T) {
+	is := is.New(t)
+	entry, deep := startRawMesh(t, func(conn *net.TCPConn, request *http.Request, idLine string) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		if request.ContentLength == 0 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", idLine)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", idLine)
+	})
+	for _, node := range []*platformNode{entry, deep} {
+		for range brokenUploads {
+			status, _, err := node.upload(t, "1.0", "/deep/x", 10)
+			is.True(err != nil || status != http.StatusOK)
+		}
+	}
+}
+
 // TestEarlyAnswerWithoutLengthReachesCaller guards against refusing or truncating a whole answer
 // without a length whose back end reads the rest of the upload, and against truncating the upload.
 func TestEarlyAnswerWithoutLengthReachesCaller(t *testing.T) {
@@ -156,7 +176,7 @@
 		uploaded <- n
 	})
 	for _, node := range []*platformNode{entry, deep} {
-		for _, version := range []string{"1.1"} {
+		for _, version := range []string{"1.1", "1.0"} {
 			status, body, err := node.upload(t, version, "/deep/x", uploadLength)
 			is.NoErr(err)
 			is.Equal(status, http.StatusOK)
--- a/kernel/peer.go
+++ b/kernel/peer.go
@@ -18,6 +18,21 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
+// resetOnClose makes the close of the connection of an HTTP/1.0 request reset it. Callers of that
+// version take any other close for the end of the answer.
+func resetOnClose(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _ := r.Context().Value(connectionKey{}).(net.Conn)
+	if caller, ok := conn.(*callerConn); ok {
+		conn = caller.Conn
+	}
+	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails if the connection is closed already
+	}
+}
+
 // peerPollInterval is the time between two checks whether a caller is still connected.
 const peerPollInterval = 200 * time.Millisecond
 
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -15,7 +15,7 @@
 	started := time.Now()
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	defer p.recoverPanic(w)
+	defer p.recoverPanic(r)
 	if isStreamed(r) {
 		defer streamBothWays(w, r)()
 	}
@@ -74,7 +74,7 @@
 }
 
 // recoverPanic logs a panic of a handler and aborts the request.
-func (p *Process) recoverPanic(http.ResponseWriter) {
+func (p *Process) recoverPanic(r *http.Request) {
 	cause := recover()
 	if cause == nil {
 		return
@@ -82,6 +82,7 @@
 	if cause != http.ErrAbortHandler {
 		p.Log.Emit(event.RequestPanic, "panic", cause)
 	}
+	resetOnClose(r)
 	panic(http.ErrAbortHandler) // closes the connection, so that the answer cannot look complete
 }
 
