responsecheck: a status line decides first whether bytes are an answer

Callers saw: a back end in trouble sent an answer with status 000, and the caller got it, with its body. Cause: Go's reader takes any three digits for a status, also with a sign, any version with a digit before and after the dot, and any byte in the reason phrase; nothing behind it looked at them. 101 was passed on as a final answer although no upgrade is ever requested. Change: package responsecheck sees the bytes of a response before Go's reader does. Status lines by RFC 9112, section 4, status 100 to 599; the end of a head is handed on only if the head is valid. Ruled out: a check of the decoded answer (the version, the blanks and the reason phrase are gone by then).

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+	"github.com/loomcleat/loomcleat/result"
 )
 
 // uploadLength is more than the buffers of all connections on the way hold, in bytes.
@@ -185,3 +187,63 @@
 		}
 	}
 }
+
+// startScriptedMesh starts a raw mesh whose back end answers with the text in the header Answer of a
+// request, in which %ID stands for the X-Attempt-Id line, and then closes the connection.
+func startScriptedMesh(t *testing.T) (entry, deep *platformNode) {
+	t.Helper()
+	return startRawMesh(t, func(conn *net.TCPConn, request *http.Request, idLine string) {
+		script, err := strconv.Unquote(request.Header.Get("Answer"))
+		if err != nil {
+			script = "HTTP/1.1 200 OK\r\n%IDContent-Length: 0\r\n\r\n"
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(script, "%ID", idLine))
+	})
+}
+
+// sendScript sends a request that the back end answers with a script. It returns the answer with its
+// body, or the error with which the answer or its body ended.
+func (n *platformNode) sendScript(t *testing.T, script string) (*http.Response, string, error) {
+	t.Helper()
+	conn := n.dial(t)
+	defer conn.Close()
+	_, err := fmt.Fprintf(conn, "GET /deep/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: script%d\r\nX-Deadline-Remaining: 5000\r\nAnswer: %s\r\n\r\n",
+		attemptCount.Add(1), strconv.Quote(script))
+	is.New(t).NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// TestInvalidAnswerDoesNotReachCaller guards against passing on bytes that are no HTTP answer. The
+// caller gets an error of loomcleat instead, and the log names what was wrong.
+func TestInvalidAnswerDoesNotReachCaller(t *testing.T) {
+	cases := []struct{ name, script, logged string }{
+		{"status 000", "HTTP/1.1 000 Unknown\r\n%IDContent-Length: 5\r\n\r\nwrong", "status 000"},
+		{"status above 599", "HTTP/1.1 777 Unknown\r\n%IDContent-Length: 5\r\n\r\nwrong", "status 777"},
+		{"other version", "HTTP/2.0 200 OK\r\n%IDContent-Length: 5\r\n\r\nwrong", "no version 1.x"},
+		{"switched protocol", "HTTP/1.1 101 Switching\r\n%IDUpgrade: x\r\n\r\nwrong", "protocol is switched"},
+	}
+	entry, deep := startScriptedMesh(t)
+	for _, c := range cases {
+		for _, node := range []*platformNode{entry, deep} {
+			t.Run(c.name+" by "+node.service, func(t *testing.T) {
+				is := is.New(t)
+				response, body, err := node.sendScript(t, c.script)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusBadGateway)
+				is.Equal(response.Header.Get(result.HeaderCode), strconv.Itoa(int(result.AnswerInvalid)))
+				is.Equal(response.Header.Get(result.HeaderOutcome), result.OutcomeUnknown)
+				is.True(!strings.Contains(body, "wrong"))
+			})
+		}
+		is.New(t).True(strings.Contains(deep.log.String(), c.logged))
+	}
+	response, _, err := entry.sendScript(t, "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\n\r\nsound")
+	is.New(t).NoErr(err)
+	is.New(t).Equal(response.StatusCode, http.StatusOK)
+}
--- a/event/events.go
+++ b/event/events.go
@@ -87,6 +87,7 @@
 	LeavingDeclared        Number = 425
 	LeaveAnnounced         Number = 426
 	LeavingRecalled        Number = 427
+	AnswerBrokenOff        Number = 428
 )
 
 // Events of at-most-once claims.
@@ -168,6 +169,7 @@
 	{LeavingDeclared, "leaving-declared", "info", "The back end beside this node declared in an answer that it is about to stop."},
 	{LeaveAnnounced, "leave-announced", "info", "A back end announced the stop of one of its starts, which was acknowledged: heartbeats of it that arrive later don't open it again."},
 	{LeavingRecalled, "leaving-recalled", "info", "A peer knew that a start of the back end beside this node had announced its stop to the process that ran here before; it gets no requests."},
+	{AnswerBrokenOff, "answer-broken-off", "warn", "An answer broke off or became invalid after its head had been passed on; the connection to the caller was closed, so that the answer does not look complete."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/kernel/account.go
+++ b/kernel/account.go
@@ -1,6 +1,8 @@
 package kernel
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +24,7 @@
 		"code", int(typed.Code),
 		"reason", typed.Code.Definition().Name,
 		"detail", typed.Message,
+		"cause", causeOf(typed),
 		"outcome", typed.Outcome(),
 		"revision", p.Policy.Load().Revision(),
 		"taken_ms", taken.Milliseconds(),
@@ -34,6 +37,32 @@
 	p.Log.Emit(number, pairs...)
 }
 
+// maximumCause bounds the cause of an error in a log line, in bytes: it may quote what another
+// process sent.
+const maximumCause = 200
+
+// causeOf returns the cause of an error for a log line, "" if there is none.
+func causeOf(err *result.Error) string {
+	if err.Cause == nil {
+		return ""
+	}
+	return bounded(err.Cause.Error())
+}
+
+// bounded returns the beginning of a text for a log line.
+func bounded(text string) string { return text[:min(len(text), maximumCause)] }
+
+// logBrokenOff logs an answer that broke off after its head had been passed on, unless the caller
+// is the reason. err is the error of writeAnswer.
+func (p *Process) logBrokenOff(call *Call, direction string, err error, taken time.Duration) {
+	var broken *brokenOffError
+	if !errors.As(err, &broken) || call.Context.Err() == context.Canceled {
+		return
+	}
+	pairs := append([]any{"direction", direction, "cause", bounded(broken.cause.Error()), "taken_ms", taken.Milliseconds()}, callPairs(call)...)
+	p.Log.Emit(event.AnswerBrokenOff, pairs...)
+}
+
 // logFailureAnswer logs a request that a back end answered with a status of 500 or
 // more.
 func (p *Process) logFailureAnswer(call *Call, direction string, answer *Answer, taken time.Duration) {
@@ -74,7 +103,8 @@
 	pairs := callPairs(call)
 	if err != nil {
 		typed := result.From(err)
-		pairs = append(pairs, "code", int(typed.Code), "reason", typed.Code.Definition().Name, "detail", typed.Message)
+		pairs = append(pairs, "code", int(typed.Code), "reason", typed.Code.Definition().Name, "detail", typed.Message,
+			"cause", causeOf(typed))
 	}
 	p.Log.Emit(event.AttemptRepeated, pairs...)
 }
--- a/kernel/answer.go
+++ b/kernel/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -16,10 +17,10 @@
 	return &buffer
 }}
 
-// writeAnswer writes an answer to w: status, headers, body and trailers. If the body
-// is truncated, it closes the connection so that the caller cannot take the answer for
-// a complete one.
-func writeAnswer(w http.ResponseWriter, answer *http.Response) {
+// writeAnswer writes an answer to w: status, headers, body and trailers. It returns an error, of
+// type *brokenOffError if not the caller is the reason, when the body could not be passed on to its
+// end. The connection to the caller must then be closed.
+func writeAnswer(w http.ResponseWriter, answer *http.Response) error {
 	header := w.Header()
 	wire.RemoveHopByHop(answer.Header)
 	for name, values := range answer.Header {
@@ -30,13 +31,23 @@
 	}
 	w.WriteHeader(answer.StatusCode)
 	if err := copyBody(w, answer); err != nil {
-		panic(http.ErrAbortHandler)
+		return err
 	}
 	for name, values := range answer.Trailer {
 		header[http.TrailerPrefix+name] = values
 	}
+	return nil
+}
+
+// brokenOffError is the error with which the body of an answer ended before its end.
+type brokenOffError struct {
+	cause error
 }
 
+func (e *brokenOffError) Error() string { return "the answer broke off: " + e.cause.Error() }
+
+func (e *brokenOffError) Unwrap() error { return e.cause }
+
 // prefetchBody reads up to maximumBuffered bytes of the body before the head of the answer
 // is written. If the body is truncated within them, it returns an error that can be
 // sent instead, so that the connection stays usable.
@@ -44,7 +55,7 @@
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maximumBuffered))
 	if err != nil {
 		_ = answer.Body.Close()
-		return truncatedAnswer()
+		return result.Wrap(result.ConnectionLost, err, "the answer broke off")
 	}
 	answer.Body = &prefetchedBody{Reader: io.MultiReader(bytes.NewReader(data), answer.Body), Closer: answer.Body}
 	return nil
@@ -79,7 +90,7 @@
 			return nil
 		}
 		if readErr != nil {
-			return readErr
+			return &brokenOffError{cause: readErr}
 		}
 	}
 }
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -42,7 +42,10 @@
 	}
 	defer answer.Body.Close()
 	p.logFailureAnswer(call, direction, answer, time.Since(started))
-	writeAnswer(w, answer.Response)
+	if writeErr := writeAnswer(w, answer.Response); writeErr != nil {
+		p.logBrokenOff(call, direction, writeErr, time.Since(started))
+		panic(http.ErrAbortHandler) // closes the connection, so that the answer cannot look complete
+	}
 }
 
 // prepareHead adds the headers of this process to the head of an answer or of the error err.
--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -9,6 +9,7 @@
 
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/transport/exchange"
+	"github.com/loomcleat/loomcleat/transport/responsecheck"
 )
 
 // Transmitter sends calls over HTTP/1.1. Its errors distinguish whether any byte of the
@@ -102,10 +103,11 @@
 }
 
 // classify converts a transport error to a *result.Error, by whether the request was
-// written and whether ctx was cancelled or timed out.
+// written, whether ctx was cancelled or timed out, and whether the answer was invalid.
 func (t *Transmitter) classify(ctx context.Context, err error) error {
 	var failed *exchange.Error
 	wrote := !errors.As(err, &failed) || failed.Wrote
+	var invalid *responsecheck.Error
 	cause := context.Cause(ctx)
 	timedOut := errors.Is(cause, context.DeadlineExceeded)
 	cancelled := cause != nil && !timedOut
@@ -120,6 +122,8 @@
 		return result.Wrap(result.DeadlineExceeded, err, "no answer within the time left")
 	case cancelled:
 		return result.Wrap(result.CallerCancelled, err, "the caller went away while the request was in flight")
+	case errors.As(err, &invalid):
+		return result.Wrap(result.AnswerInvalid, err, "%v", invalid)
 	default:
 		return result.Wrap(result.ConnectionLost, err, "the connection broke before the answer")
 	}
--- a/plugin/quarantine/setup_test.go
+++ b/plugin/quarantine/setup_test.go
@@ -170,3 +170,17 @@
 	}
 	is.Equal(len(p.unanswered.Suspects("mine")), 0)
 }
+
+// TestInvalidAnswerIsCheckedForCrash guards against a back end that sends invalid bytes as it crashes,
+// so that its crash is not found, and against calling every invalid answer a crash.
+func TestInvalidAnswerIsCheckedForCrash(t *testing.T) {
+	is := is.New(t)
+	p, call := newPlugin(), newCall("/x", "mine")
+	invalid := result.New(result.AnswerInvalid, "status 000")
+	is.Equal(result.From(p.recordFailure(call, invalid)).Code, result.AnswerInvalid)
+	is.Equal(p.check.incarnation, "mine")
+	is.Equal(len(p.unanswered.Suspects("mine")), 1)
+	is.Equal(p.crashCount.Load(), int64(0))
+	p.mergeReports(clock.Now().Time(), []quarantine.CrashReport{newCrash("a", call), newCrash("b", call)}, "peer")
+	is.Equal(result.From(p.recordFailure(call, invalid)).Code, result.CrashSuspected)
+}
--- a/result/conclusion.go
+++ b/result/conclusion.go
@@ -76,6 +76,7 @@
 	CallerCancelled:    {Node: NoEvidence},
 	AnswerMismatch:     {Next: MayHaveRun, BackEndFault: true},
 	CrashSuspected:     {BackEndFault: true},
+	AnswerInvalid:      {Next: MayHaveRun, BackEndFault: true},
 }
 
 // Conclusion returns the Conclusion of an attempt that ended with c.
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/transport/responsecheck"
 	"github.com/loomcleat/loomcleat/transport/socket"
 )
 
@@ -28,8 +29,9 @@
 	served  int           // successful exchanges
 
 	// State of the exchange in flight.
-	written          atomic.Int64  // request bytes written
-	headBudget       int64         // remaining bytes allowed before the body
+	written          atomic.Int64 // request bytes written
+	headBudget       int64        // remaining bytes allowed before the body
+	checker          responsecheck.Checker
 	reader           *bufio.Reader // nil between exchanges
 	stopContextWatch func() bool   // unregisters the function that closes the connection when the context ends
 	upload           *upload       // nil if the request was written before the response is read
@@ -85,13 +87,17 @@
 
 func (e *brokenEndError) Unwrap() error { return e.cause }
 
-// Read implements net.Conn. It limits the number of bytes before the body.
+// Read implements net.Conn. It returns only bytes that belong to a valid response, and limits the
+// number of bytes before the body.
 func (c *conn) Read(data []byte) (int, error) {
 	if c.headBudget <= 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := c.Conn.Read(data)
 	c.headBudget -= int64(n)
+	if valid, invalid := c.checker.Check(data[:n]); invalid != nil {
+		return valid, invalid
+	}
 	if errors.Is(err, io.EOF) && c.untilClose {
 		return n, c.checkEnd()
 	}
@@ -125,6 +131,7 @@
 func (c *conn) exchange(ctx context.Context, request *http.Request) (*http.Response, error) {
 	c.written.Store(0)
 	c.headBudget = maximumHead
+	c.checker = responsecheck.Checker{}
 	c.upload, c.untilClose, c.contextDone = nil, false, ctx.Done()
 	c.reader, _ = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c)
@@ -196,7 +203,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
@@ -252,7 +259,7 @@
 	return &body{
 		ReadCloser: response.Body,
 		conn:       c,
-		reusable:   !response.Close && response.StatusCode != http.StatusSwitchingProtocols,
+		reusable:   !response.Close,
 		keepAlive:  keepAliveTimeout(response.Header),
 	}
 }
