responsecheck: the names and values of fields by RFC 9112

Callers saw: an answer in whose head the name of a field held a blank. The caller got it as an answer, without the line; where the name was that of the length, with a blank before or behind it, the body ran to the end of the connection and was not the back end's. Cause: Go's reader accepts blanks in names and keeps such a name as another one (go.dev/issue/34540), and folds a line that begins with a blank into the one before. Control bytes it refuses by itself: handled before, with a test now. Change: each line of a head must be a token, a colon and text without control bytes. Errors of a connection are also returned again: Go's look-ahead drops the first one, so that the end of the connection was reported in its place. Ruled out: removing a blank behind a name, as RFC 9112, section 5.1 has proxies do: the users count such an answer as broken, and which field it was is a guess.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -227,6 +227,11 @@
 		{"status above 599", "HTTP/1.1 777 Unknown\r\n%IDContent-Length: 5\r\n\r\nwrong", "status 777"},
 		{"other version", "HTTP/2.0 200 OK\r\n%IDContent-Length: 5\r\n\r\nwrong", "no version 1.x"},
 		{"switched protocol", "HTTP/1.1 101 Switching\r\n%IDUpgrade: x\r\n\r\nwrong", "protocol is switched"},
+		{"blank in a name", "HTTP/1.1 200 OK\r\n%IDX Y: 1\r\nContent-Length: 5\r\n\r\nwrong", `in the name \"X Y\"`},
+		{"blank behind a name", "HTTP/1.1 200 OK\r\n%IDContent-Length : 5\r\n\r\nwrong and more", `in the name \"Content-Length \"`},
+		{"blank before a name", "HTTP/1.1 200 OK\r\n%ID Content-Length: 5\r\n\r\nwrong and more", `in the name \" Content-Length\"`},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\n%IDX\x01Y: 1\r\nContent-Length: 5\r\n\r\nwrong", "byte 0x01 in the name"},
+		{"control byte in a value", "HTTP/1.1 200 OK\r\n%IDX-Y: 1\x01\r\nContent-Length: 5\r\n\r\nwrong", "byte 0x01 in the value"},
 	}
 	entry, deep := startScriptedMesh(t)
 	for _, c := range cases {
@@ -241,7 +246,7 @@
 				is.True(!strings.Contains(body, "wrong"))
 			})
 		}
-		is.New(t).True(strings.Contains(deep.log.String(), c.logged))
+		is.New(t).True(strings.Contains(strings.ReplaceAll(deep.log.String(), `\\"`, `\"`), c.logged))
 	}
 	response, _, err := entry.sendScript(t, "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\n\r\nsound")
 	is.New(t).NoErr(err)
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -32,6 +32,7 @@
 	written          atomic.Int64 // request bytes written
 	headBudget       int64        // remaining bytes allowed before the body
 	checker          responsecheck.Checker
+	readErr          error         // ended the reads of the response
 	reader           *bufio.Reader // nil between exchanges
 	stopContextWatch func() bool   // unregisters the function that closes the connection when the context ends
 	upload           *upload       // nil if the request was written before the response is read
@@ -90,6 +91,15 @@
 // Read implements net.Conn. It returns only bytes that belong to a valid response, and limits the
 // number of bytes before the body.
 func (c *conn) Read(data []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr // again: readers that look ahead drop an error
+	}
+	n, err := c.readValid(data)
+	c.readErr = err
+	return n, err
+}
+
+func (c *conn) readValid(data []byte) (int, error) {
 	if c.headBudget <= 0 {
 		return 0, errHeadTooLong
 	}
@@ -131,7 +141,7 @@
 func (c *conn) exchange(ctx context.Context, request *http.Request) (*http.Response, error) {
 	c.written.Store(0)
 	c.headBudget = maximumHead
-	c.checker = responsecheck.Checker{}
+	c.checker, c.readErr = responsecheck.Checker{}, nil
 	c.upload, c.untilClose, c.contextDone = nil, false, ctx.Done()
 	c.reader, _ = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c)
--- a/transport/responsecheck/checker.go
+++ b/transport/responsecheck/checker.go
@@ -84,7 +84,10 @@
 	case inFields:
 		if len(line) == 0 {
 			c.endHead()
+			return nil
 		}
+		_, err := parseField(Field, line)
+		return err
 	}
 	return nil
 }
--- a/transport/responsecheck/checker_test.go
+++ b/transport/responsecheck/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -91,3 +92,55 @@
 		})
 	}
 }
+
+// TestFields guards against passing on a line that two readers understand differently, or missing a
+// field that tells the length, and against refusing what servers send.
+func TestFields(t *testing.T) {
+	cases := map[string]Part{
+		"X-Plain: value":               "",
+		"X-Empty:":                     "",
+		"X-Blanks: \t value \t ":       "",
+		"x!#$%&'*+-.^_`|~9: any":       "",
+		"X-Text: \"Grüße\", \xff; a:b": "",
+		"X Inner: value":               Field,
+		"X-Blank : value":              Field,
+		"X-Tab\t: value":               Field,
+		"Content-Length : 5":           Field,
+		"Transfer Encoding: chunked":   Field,
+		"X-Null\x00: value":            Field,
+		"X-Con\x01trol: value":         Field,
+		"X-Delete\x7f: value":          Field,
+		"X-Return\r: value":            Field,
+		"X-Größe: value":               Field,
+		"X(comment): value":            Field,
+		"\"X\": value":                 Field,
+		": value":                      Field,
+		" : value":                     Field,
+		"no colon":                     Field,
+		" folded: value":               Field,
+		"\tfolded":                     Field,
+		" Content-Length: 5":           Field,
+		" ":                            Field,
+		"X-Null: a\x00b":               Field,
+		"X-Return: a\rb":               Field,
+		"X-Control: a\x1fb":            Field,
+		"X-Delete: a\x7fb":             Field,
+	}
+	for line, wrong := range cases {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			expect(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 0\r\n\r\n", wrong)
+			expect(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+line+"\r\n\r\n", wrong)
+			expect(t, "HTTP/1.1 200 OK\nContent-Length: 0\n"+line+"\n\n", wrong)
+			expect(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", wrong)
+		})
+	}
+}
+
+// TestErrorsHoldNoValues guards against secrets in logs and in answers to callers.
+func TestErrorsHoldNoValues(t *testing.T) {
+	is := is.New(t)
+	_, err := check("HTTP/1.1 200 OK\r\nSet-Cookie: secret\x00\r\n\r\n", 1<<20)
+	is.True(err != nil)
+	is.True(!strings.Contains(err.Error(), "secret"))
+	is.True(strings.Contains(err.Error(), "Set-Cookie"))
+}
