responsecheck: what tells the length of an answer tells one length

Callers saw: chunks of an HTTP/1.0 answer as its content, sizes included; the content of an answer with both a length and chunks; a 204 whose content had been dropped. Cause: Go's reader ignores Transfer-Encoding in HTTP/1.0, drops a length beside chunks and the content of a 204. Change: the fields that tell the length are decided at the end of the head (RFC 9112, section 6). The Checker also tells whether the content ends with the connection; the exchange no longer derives that from the decoded answer. Handled before, with a test now: two different lengths, lengths that are no number, other transfer codings; Go refuses these.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -232,6 +232,10 @@
 		{"blank before a name", "HTTP/1.1 200 OK\r\n%ID Content-Length: 5\r\n\r\nwrong and more", `in the name \" Content-Length\"`},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\n%IDX\x01Y: 1\r\nContent-Length: 5\r\n\r\nwrong", "byte 0x01 in the name"},
 		{"control byte in a value", "HTTP/1.1 200 OK\r\n%IDX-Y: 1\x01\r\nContent-Length: 5\r\n\r\nwrong", "byte 0x01 in the value"},
+		{"two lengths", "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\nContent-Length: 7\r\n\r\nwrong..", "Content-Length twice"},
+		{"a length and chunks", "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", "both Transfer-Encoding"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", "in HTTP/1.0"},
+		{"content without a place", "HTTP/1.1 204 No Content\r\n%IDContent-Length: 5\r\n\r\nwrong", "content with status 204"},
 	}
 	entry, deep := startScriptedMesh(t)
 	for _, c := range cases {
@@ -244,9 +248,9 @@
 				is.Equal(response.Header.Get(result.HeaderCode), strconv.Itoa(int(result.AnswerInvalid)))
 				is.Equal(response.Header.Get(result.HeaderOutcome), result.OutcomeUnknown)
 				is.True(!strings.Contains(body, "wrong"))
+				is.True(strings.Contains(strings.ReplaceAll(deep.log.String(), `\\"`, `\"`), c.logged))
 			})
 		}
-		is.New(t).True(strings.Contains(strings.ReplaceAll(deep.log.String(), `\\"`, `\"`), c.logged))
 	}
 	response, _, err := entry.sendScript(t, "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\n\r\nsound")
 	is.New(t).NoErr(err)
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -36,7 +36,6 @@
 	reader           *bufio.Reader // nil between exchanges
 	stopContextWatch func() bool   // unregisters the function that closes the connection when the context ends
 	upload           *upload       // nil if the request was written before the response is read
-	untilClose       bool          // the body of the response ends with the connection
 	contextDone      <-chan struct{}
 }
 
@@ -108,7 +107,7 @@
 	if valid, invalid := c.checker.Check(data[:n]); invalid != nil {
 		return valid, invalid
 	}
-	if errors.Is(err, io.EOF) && c.untilClose {
+	if errors.Is(err, io.EOF) && c.checker.UntilClose() {
 		return n, c.checkEnd()
 	}
 	return n, err
@@ -141,8 +140,8 @@
 func (c *conn) exchange(ctx context.Context, request *http.Request) (*http.Response, error) {
 	c.written.Store(0)
 	c.headBudget = maximumHead
-	c.checker, c.readErr = responsecheck.Checker{}, nil
-	c.upload, c.untilClose, c.contextDone = nil, false, ctx.Done()
+	c.checker, c.readErr = responsecheck.Checker{HeadRequest: request.Method == http.MethodHead}, nil
+	c.upload, c.contextDone = nil, ctx.Done()
 	c.reader, _ = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c)
 	c.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
@@ -156,7 +155,6 @@
 		return nil, err
 	}
 	c.headBudget = math.MaxInt64
-	c.untilClose = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	response.Body = c.newBody(response)
 	return response, nil
 }
--- a/transport/responsecheck/checker.go
+++ b/transport/responsecheck/checker.go
@@ -5,13 +5,19 @@
 	"net/http"
 )
 
-// Checker checks the bytes of one response, with the interim responses before it. The zero value is
-// ready to use.
+// Checker checks the bytes of one response, with the interim responses before it. The zero value
+// checks the response to a request of any method but HEAD.
 type Checker struct {
+	// HeadRequest is true if the method of the request is HEAD, so that the response has no content.
+	HeadRequest bool
+
 	state state
 	// line is the beginning of a line whose end has not arrived.
-	line []byte
-	head statusLine
+	line    []byte
+	head    statusLine
+	framing framing
+	// left is the number of bytes of content that have not arrived.
+	left int64
 }
 
 // state is the part of the response that comes next.
@@ -20,9 +26,15 @@
 const (
 	inStatusLine state = iota
 	inFields
-	inContent
+	inFixedContent
+	inChunkedContent
+	inContentUntilClose
+	complete
 )
 
+// UntilClose reports whether the content ends with the connection, as far as is known by now.
+func (c *Checker) UntilClose() bool { return c.state == inContentUntilClose }
+
 // Check checks the next bytes of the response. It returns how many of them are valid, and an *Error
 // if these are not all. The end of a head is valid only if the whole head is.
 func (c *Checker) Check(data []byte) (valid int, err error) {
@@ -38,9 +50,28 @@
 
 // advance checks the beginning of data and returns its length.
 func (c *Checker) advance(data []byte) (int, error) {
-	if c.state == inContent {
+	switch c.state {
+	case inChunkedContent, inContentUntilClose, complete:
 		return len(data), nil
+	case inFixedContent:
+		return c.skipContent(data), nil
+	default:
+		return c.advanceLine(data)
+	}
+}
+
+// skipContent returns how much of data is content of a known length.
+func (c *Checker) skipContent(data []byte) int {
+	n := min(c.left, int64(len(data)))
+	c.left -= n
+	if c.left == 0 {
+		c.state = complete
 	}
+	return int(n)
+}
+
+// advanceLine checks a line if data completes one.
+func (c *Checker) advanceLine(data []byte) (int, error) {
 	line, n, complete := c.takeLine(data)
 	if !complete {
 		return n, nil
@@ -79,24 +110,39 @@
 		if err != nil {
 			return err
 		}
-		c.head = head
+		c.head, c.framing = head, framing{}
 		c.state = inFields
 	case inFields:
 		if len(line) == 0 {
-			c.endHead()
-			return nil
+			return c.endHead()
 		}
-		_, err := parseField(Field, line)
-		return err
+		parsed, err := parseField(Field, line)
+		if err != nil {
+			return err
+		}
+		return c.framing.record(parsed)
 	}
 	return nil
 }
 
-// endHead continues with what follows the head: another response after an interim one.
-func (c *Checker) endHead() {
-	if c.head.status < http.StatusOK {
+// endHead continues with what follows the head: the content, or another response after an interim
+// one.
+func (c *Checker) endHead() error {
+	kind, length, err := c.framing.content(c.head, c.HeadRequest)
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.head.status < http.StatusOK:
 		c.state = inStatusLine
-		return
+	case kind == chunkedContent:
+		c.state = inChunkedContent
+	case kind == contentUntilClose:
+		c.state = inContentUntilClose
+	case kind == fixedContent && length > 0:
+		c.state, c.left = inFixedContent, length
+	default:
+		c.state = complete
 	}
-	c.state = inContent
+	return nil
 }
--- a/transport/responsecheck/checker_test.go
+++ b/transport/responsecheck/checker_test.go
@@ -136,6 +136,92 @@
 	}
 }
 
+// TestLengths guards against a content whose length two readers understand differently, and against
+// refusing what servers send.
+func TestLengths(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked"
+	cases := []struct {
+		status, fields string
+		wrong          Part
+	}{
+		{"200", "Content-Length: 0", ""},
+		{"200", "Content-Length:\t00012 ", ""},
+		{"200", "Content-Length: 12\r\ncontent-length: 12", ""},
+		{"200", "Content-Length: 9223372036854775807", ""},
+		{"200", chunked, ""},
+		{"200", "transfer-encoding:  CHUNKED", ""},
+		{"200", "X: y", ""},
+		{"204", "X: y", ""},
+		{"204", "Content-Length: 0", ""},
+		{"205", "Content-Length: 0", ""},
+		{"304", "Content-Length: 12", ""},
+		{"304", chunked, ""},
+		{"103", "Link: x", ""},
+		{"103", "Content-Length: 0", ""},
+		{"200", "Content-Length:", Length},
+		{"200", "Content-Length: -1", Length},
+		{"200", "Content-Length: +1", Length},
+		{"200", "Content-Length: 0x1", Length},
+		{"200", "Content-Length: 1 2", Length},
+		{"200", "Content-Length: 1.0", Length},
+		{"200", "Content-Length: 12, 12", Length},
+		{"200", "Content-Length: 9223372036854775808", Length},
+		{"200", "Content-Length: 12\r\nContent-Length: 13", Length},
+		{"200", "Content-Length: 12\r\nContent-Length: 012", Length},
+		{"200", "Content-Length: 12\r\nContent-Length:", Length},
+		{"200", "Content-Length: 12\r\n" + chunked, Length},
+		{"200", chunked + "\r\nContent-Length: 12", Length},
+		{"200", chunked + "\r\n" + chunked, Length},
+		{"200", "Transfer-Encoding:", Length},
+		{"200", "Transfer-Encoding: gzip, chunked", Length},
+		{"200", "Transfer-Encoding: chunked, chunked", Length},
+		{"200", "Transfer-Encoding: identity", Length},
+		{"200", "Transfer-Encoding: chunked;q=1", Length},
+		{"204", "Content-Length: 12", Length},
+		{"204", chunked, Length},
+		{"304", "Content-Length: x", Length},
+		{"304", chunked + "\r\nContent-Length: 12", Length},
+		{"103", "Content-Length: 12", Length},
+		{"103", chunked, Length},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%s %q", c.status, c.fields), func(t *testing.T) {
+			expect(t, "HTTP/1.1 "+c.status+" x\r\n"+c.fields+"\r\n\r\n", c.wrong)
+		})
+	}
+	expect(t, "HTTP/1.0 200 x\r\n"+chunked+"\r\n\r\n", Length)
+	expect(t, "HTTP/1.0 200 x\r\nContent-Length: 2\r\n\r\nok", "")
+}
+
+// TestUntilClose guards against taking the end of a connection for that of a content which has
+// another end, or none.
+func TestUntilClose(t *testing.T) {
+	cases := []struct {
+		text        string
+		headRequest bool
+		untilClose  bool
+	}{
+		{"HTTP/1.1 200 OK\r\nX: y\r\n", false, false},
+		{"HTTP/1.1 200 OK\r\n\r\n", false, true},
+		{"HTTP/1.0 200 OK\r\n\r\nbody", false, true},
+		{"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false, true},
+		{"HTTP/1.1 103 x\r\n\r\n", false, false},
+		{"HTTP/1.1 200 OK\r\n\r\n", true, false},
+		{"HTTP/1.1 204 x\r\n\r\n", false, false},
+		{"HTTP/1.1 304 x\r\n\r\n", false, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, false},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		checker := Checker{HeadRequest: c.headRequest}
+		_, err := checker.Check([]byte(c.text))
+		is.NoErr(err)
+		is.Equal(checker.UntilClose(), c.untilClose)
+	}
+}
+
 // TestErrorsHoldNoValues guards against secrets in logs and in answers to callers.
 func TestErrorsHoldNoValues(t *testing.T) {
 	is := is.New(t)
