responsecheck: chunks and trailers by RFC 9112

Callers saw: trailers whose name held a blank or that told another length, passed on or lost behind an answer that looked complete; a trailer of loomcleat's own headers that a back end had sent. Cause: Go's reader drops extensions unread, reads trailers as leniently as heads, and passes on any name. Internal headers were removed from heads only. Change: the Checker follows chunks to their end and checks sizes, ends and trailers. Handled before, with a test now: chunks without a size, longer than their size or without an end, content shorter than its length; Go refuses these.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -256,3 +256,44 @@
 	is.New(t).NoErr(err)
 	is.New(t).Equal(response.StatusCode, http.StatusOK)
 }
+
+// TestAnswerThatBecomesInvalidDoesNotEnd guards against a content or trailers that become invalid after
+// the head was passed on: the caller must not take the answer for complete, and the log names the cause.
+func TestAnswerThatBecomesInvalidDoesNotEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+	cases := []struct{ name, script, logged string }{
+		{"chunk without a size", head + "\r\n", "no size of 63 bits"},
+		{"chunk longer than its size", head + "4\r\nparts\r\n0\r\n\r\n", "longer than its size"},
+		{"blank in the name of a trailer", head + "0\r\nX Y: 1\r\n\r\n", "trailer: byte 0x20"},
+		{"length in a trailer", head + "0\r\nContent-Length: 4\r\n\r\n", "comes after the content"},
+		{"no last chunk", head, "unexpected EOF"},
+		{"content shorter than its length", "HTTP/1.1 200 OK\r\n%IDContent-Length: 9\r\n\r\npart", "unexpected EOF"},
+	}
+	entry, deep := startScriptedMesh(t)
+	for _, c := range cases {
+		for _, node := range []*platformNode{entry, deep} {
+			t.Run(c.name+" by "+node.service, func(t *testing.T) {
+				is := is.New(t)
+				_, body, err := node.sendScript(t, c.script)
+				is.True(err != nil)
+				is.True(strings.HasPrefix("partpart", body))
+				is.True(strings.Contains(deep.log.String(), "answer-broken-off"))
+				is.True(strings.Contains(deep.log.String(), c.logged))
+			})
+		}
+	}
+}
+
+// TestTrailersReachCaller guards against losing trailers, and against passing on one that only
+// processes of loomcleat send.
+func TestTrailersReachCaller(t *testing.T) {
+	is := is.New(t)
+	entry, deep := startScriptedMesh(t)
+	for _, node := range []*platformNode{entry, deep} {
+		response, body, err := node.sendScript(t, "HTTP/1.1 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n"+
+			"5\r\nwhole\r\n0\r\nX-Sum: 5\r\n"+result.HeaderCode+": 1\r\n\r\n")
+		is.NoErr(err)
+		is.Equal(body, "whole")
+		is.Equal(response.Trailer, http.Header{"X-Sum": {"5"}})
+	}
+}
--- a/kernel/answer.go
+++ b/kernel/answer.go
@@ -33,6 +33,7 @@
 	if err := copyBody(w, answer); err != nil {
 		return err
 	}
+	wire.RemoveInternal(answer.Trailer)
 	for name, values := range answer.Trailer {
 		header[http.TrailerPrefix+name] = values
 	}
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -113,6 +113,15 @@
 	return n, err
 }
 
+// causeOf returns the error that ended the reads of the response, in place of the one that Go's reader
+// made of it, or err if the connection has only ended.
+func (c *conn) causeOf(err error) error {
+	if c.readErr == nil || errors.Is(c.readErr, io.EOF) {
+		return err
+	}
+	return c.readErr
+}
+
 // checkEnd returns io.EOF if the end of the connection is that of the response, whose length is not
 // told otherwise. This is known when the request has been written and has arrived: a server that
 // broke off would have reset the connection when more of the request arrived. Whichever of the
@@ -152,7 +161,7 @@
 	response, err := c.readHead(request)
 	if err != nil {
 		c.discard()
-		return nil, err
+		return nil, c.causeOf(err)
 	}
 	c.headBudget = math.MaxInt64
 	response.Body = c.newBody(response)
@@ -291,6 +300,7 @@
 	if err == nil {
 		return n, nil
 	}
+	err = b.conn.causeOf(err)
 	b.readErr = err
 	if errors.Is(err, io.EOF) {
 		b.conn.finish(b.reusable, b.keepAlive)
--- a/transport/responsecheck/checker.go
+++ b/transport/responsecheck/checker.go
@@ -16,7 +16,7 @@
 	line    []byte
 	head    statusLine
 	framing framing
-	// left is the number of bytes of content that have not arrived.
+	// left is the number of bytes of the content, or of its chunk, that have not arrived.
 	left int64
 }
 
@@ -27,8 +27,11 @@
 	inStatusLine state = iota
 	inFields
 	inFixedContent
-	inChunkedContent
 	inContentUntilClose
+	inChunkSize
+	inChunk
+	inChunkEnd
+	inTrailers
 	complete
 )
 
@@ -51,21 +54,23 @@
 // advance checks the beginning of data and returns its length.
 func (c *Checker) advance(data []byte) (int, error) {
 	switch c.state {
-	case inChunkedContent, inContentUntilClose, complete:
+	case inContentUntilClose, complete:
 		return len(data), nil
 	case inFixedContent:
-		return c.skipContent(data), nil
+		return c.skipContent(data, complete), nil
+	case inChunk:
+		return c.skipContent(data, inChunkEnd), nil
 	default:
 		return c.advanceLine(data)
 	}
 }
 
-// skipContent returns how much of data is content of a known length.
-func (c *Checker) skipContent(data []byte) int {
+// skipContent returns how much of data is content of a known length, after which next comes.
+func (c *Checker) skipContent(data []byte, next state) int {
 	n := min(c.left, int64(len(data)))
 	c.left -= n
 	if c.left == 0 {
-		c.state = complete
+		c.state = next
 	}
 	return int(n)
 }
@@ -76,7 +81,7 @@
 	if !complete {
 		return n, nil
 	}
-	err := c.checkLine(trimLineEnd(line))
+	err := c.checkLine(line)
 	c.line = c.line[:0]
 	return n, err
 }
@@ -97,32 +102,70 @@
 	return c.line, n, true
 }
 
-// trimLineEnd removes the end of a line, for which a line feed without a carriage return is accepted.
-func trimLineEnd(line []byte) []byte {
-	return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'})
-}
-
-// checkLine checks a complete line.
+// checkLine checks a complete line with its end. In a head, a line feed without a carriage return ends
+// it too.
 func (c *Checker) checkLine(line []byte) error {
+	line = line[:len(line)-1]
+	content, hasReturn := bytes.CutSuffix(line, []byte{'\r'})
 	switch c.state {
 	case inStatusLine:
-		head, err := parseStatusLine(line)
-		if err != nil {
-			return err
-		}
-		c.head, c.framing = head, framing{}
-		c.state = inFields
+		return c.beginHead(content)
 	case inFields:
-		if len(line) == 0 {
-			return c.endHead()
-		}
-		parsed, err := parseField(Field, line)
-		if err != nil {
-			return err
+		return c.addField(content)
+	case inTrailers:
+		return c.addTrailer(content, hasReturn)
+	default:
+		return c.addChunkLine(content, hasReturn)
+	}
+}
+
+func (c *Checker) beginHead(line []byte) error {
+	head, err := parseStatusLine(line)
+	c.head, c.framing = head, framing{}
+	c.state = inFields
+	return err
+}
+
+func (c *Checker) addField(line []byte) error {
+	if len(line) == 0 {
+		return c.endHead()
+	}
+	parsed, err := parseField(Field, line)
+	if err != nil {
+		return err
+	}
+	return c.framing.record(parsed)
+}
+
+// addChunkLine checks the line before or behind a chunk.
+func (c *Checker) addChunkLine(line []byte, hasReturn bool) error {
+	if !hasReturn {
+		return invalid(Chunk, "a line ends without a carriage return")
+	}
+	if c.state == inChunkEnd {
+		c.state = inChunkSize
+		if len(line) > 0 {
+			return invalid(Chunk, "it is longer than its size")
 		}
-		return c.framing.record(parsed)
+		return nil
 	}
-	return nil
+	size, err := parseChunkSize(line)
+	c.state, c.left = inChunk, size
+	if size == 0 {
+		c.state = inTrailers
+	}
+	return err
+}
+
+func (c *Checker) addTrailer(line []byte, hasReturn bool) error {
+	if !hasReturn {
+		return invalid(Trailer, "a line ends without a carriage return")
+	}
+	if len(line) == 0 {
+		c.state = complete
+		return nil
+	}
+	return checkTrailer(line)
 }
 
 // endHead continues with what follows the head: the content, or another response after an interim
@@ -136,7 +179,7 @@
 	case c.head.status < http.StatusOK:
 		c.state = inStatusLine
 	case kind == chunkedContent:
-		c.state = inChunkedContent
+		c.state = inChunkSize
 	case kind == contentUntilClose:
 		c.state = inContentUntilClose
 	case kind == fixedContent && length > 0:
--- a/transport/responsecheck/checker_test.go
+++ b/transport/responsecheck/checker_test.go
@@ -222,6 +222,50 @@
 	}
 }
 
+// TestChunks guards against content that two readers cut differently, and against refusing what
+// servers send.
+func TestChunks(t *testing.T) {
+	cases := map[string]Part{
+		"0\r\n\r\n":                                    "",
+		"5\r\nhello\r\n0\r\n\r\n":                      "",
+		"5\r\nhel\nl\r\n0\r\n\r\n":                     "",
+		"00A\r\n0123456789\r\n000\r\n\r\n":             "",
+		"5  \r\nhello\r\n0 \r\n\r\n":                   "",
+		"5;a=b;c=\"d\"\r\nhello\r\n0;last\r\n\r\n":     "",
+		"5 ; a\r\nhello\r\n0\r\n\r\n":                  "",
+		"0\r\nETag: \"x\"\r\nServer-Timing: y\r\n\r\n": "",
+		"\r\nhello\r\n":                                Chunk,
+		"x\r\nhello\r\n":                               Chunk,
+		"-5\r\nhello\r\n":                              Chunk,
+		"+5\r\nhello\r\n":                              Chunk,
+		"0x5\r\nhello\r\n":                             Chunk,
+		" 5\r\nhello\r\n":                              Chunk,
+		"5 5\r\nhello\r\n":                             Chunk,
+		"5\nhello\r\n":                                 Chunk,
+		"5\r\nhello\n0\r\n":                            Chunk,
+		"5\r\nhello0\r\n":                              Chunk,
+		"5\r\nhello!\r\n":                              Chunk,
+		"5;a\x00\r\nhello\r\n":                         Chunk,
+		"5;a\r;b\r\nhello\r\n":                         Chunk,
+		"8000000000000000\r\nhello\r\n":                Chunk,
+		"10000000000000005\r\nhello\r\n":               Chunk,
+		"0\r\nX Y: z\r\n\r\n":                          Trailer,
+		"0\r\nX\x01: z\r\n\r\n":                        Trailer,
+		"0\r\nX: \x01\r\n\r\n":                         Trailer,
+		"0\r\n folded: z\r\n\r\n":                      Trailer,
+		"0\r\nX: z\n\r\n":                              Trailer,
+		"0\r\nX: z\r\n\n":                              Trailer,
+		"0\r\ncontent-length: 5\r\n\r\n":               Trailer,
+		"0\r\nTransfer-Encoding: chunked\r\n\r\n":      Trailer,
+		"0\r\nHTTP/1.1 200 OK\r\n\r\n":                 Trailer,
+	}
+	for content, wrong := range cases {
+		t.Run(fmt.Sprintf("%q", content), func(t *testing.T) {
+			expect(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+content, wrong)
+		})
+	}
+}
+
 // TestErrorsHoldNoValues guards against secrets in logs and in answers to callers.
 func TestErrorsHoldNoValues(t *testing.T) {
 	is := is.New(t)
