responsecheck: bounds on every part that a server may send without end

Callers saw: nothing new; the users ask for bounds on bytes that are no answer, sent without end. Cause: heads were bounded at 1 MiB for each exchange, their fields not at all: 1 MiB of short fields takes 15 MiB once decoded and 27 MiB on the way (137,069 fields, measured), and a back end has hundreds of slots. Change: the Checker bounds heads at 256 KiB and 2000 fields, interim answers at 8, the line of a chunk at 2 KiB and trailers at 4 KiB, and names the bound. Ruled out: a bound on content, which may be long.

--- a/transport/exchange/client_test.go
+++ b/transport/exchange/client_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/clock/clocktest"
+	"github.com/loomcleat/loomcleat/transport/responsecheck"
 )
 
 // exchangeTimeout bounds each exchange.
@@ -225,8 +226,8 @@
 		{"truncated head", "HTTP/1.1 200 OK\r\nContent-Le", false},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true},
 		{"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", true},
-		{"head too long", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maximumHead), false},
-		{"too many interim responses", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2*maximumInterim), false},
+		{"head too long", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*responsecheck.MaximumHead), false},
+		{"too many interim responses", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 2*responsecheck.MaximumInterim), false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -54,13 +53,9 @@
 	// the response is read. Longer ones are written in the background, since the
 	// server may respond before it has read them.
 	maximumInlineBody = 8 << 10
-	// maximumHead bounds the status line and headers of a response, in bytes.
-	maximumHead = 1 << 20
 	// finalReadTimeout is how long to wait for the response after writing the request
 	// failed: the server may have responded before it closed the connection.
 	finalReadTimeout = 100 * time.Millisecond
-	// maximumInterim bounds the number of interim (1xx) responses to a request.
-	maximumInterim = 8
 )
 
 // readers and writers hold buffers, so that idle connections need none.
@@ -69,12 +64,8 @@
 	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
 )
 
-var (
-	errHeadTooLong = errors.New("status line and headers of the response exceed 1 MiB")
-	errInterim     = errors.New("8 interim responses without a final one")
-	// errContextEnded ends the wait for the rest of a request.
-	errContextEnded = errors.New("the context ended before the request was written")
-)
+// errContextEnded ends the wait for the rest of a request.
+var errContextEnded = errors.New("the context ended before the request was written")
 
 // brokenEndError is the end of a connection that is not the end of the response.
 type brokenEndError struct {
@@ -87,8 +78,7 @@
 
 func (e *brokenEndError) Unwrap() error { return e.cause }
 
-// Read implements net.Conn. It returns only bytes that belong to a valid response, and limits the
-// number of bytes before the body.
+// Read implements net.Conn. It returns only bytes that belong to a valid response.
 func (c *conn) Read(data []byte) (int, error) {
 	if c.readErr != nil {
 		return 0, c.readErr // again: readers that look ahead drop an error
@@ -99,11 +89,7 @@
 }
 
 func (c *conn) readValid(data []byte) (int, error) {
-	if c.headBudget <= 0 {
-		return 0, errHeadTooLong
-	}
 	n, err := c.Conn.Read(data)
-	c.headBudget -= int64(n)
 	if valid, invalid := c.checker.Check(data[:n]); invalid != nil {
 		return valid, invalid
 	}
@@ -148,8 +134,7 @@
 // exchange fails or ctx ends.
 func (c *conn) exchange(ctx context.Context, request *http.Request) (*http.Response, error) {
 	c.written.Store(0)
-	c.headBudget = maximumHead
-	c.checker, c.readErr = responsecheck.Checker{HeadRequest: request.Method == http.MethodHead}, nil
+	c.checker, c.readErr = responsecheck.NewChecker(request.Method), nil
 	c.upload, c.contextDone = nil, ctx.Done()
 	c.reader, _ = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c)
@@ -163,7 +148,6 @@
 		c.discard()
 		return nil, c.causeOf(err)
 	}
-	c.headBudget = math.MaxInt64
 	response.Body = c.newBody(response)
 	return response, nil
 }
@@ -213,9 +197,10 @@
 	}
 }
 
-// readHead reads the head of the final response and skips interim ones.
+// readHead reads the head of the final response and skips interim ones, whose number the checker
+// bounds.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
-	for range maximumInterim {
+	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
@@ -224,7 +209,6 @@
 			return response, nil
 		}
 	}
-	return nil, errInterim
 }
 
 // discard closes the connection and releases its resources.
--- a/transport/responsecheck/checker.go
+++ b/transport/responsecheck/checker.go
@@ -5,19 +5,23 @@
 	"net/http"
 )
 
-// Checker checks the bytes of one response, with the interim responses before it. The zero value
-// checks the response to a request of any method but HEAD.
+// Checker checks the bytes of one response, with the interim responses before it.
 type Checker struct {
-	// HeadRequest is true if the method of the request is HEAD, so that the response has no content.
-	HeadRequest bool
-
-	state state
+	// headRequest is true if the method of the request is HEAD, so that the response has no content.
+	headRequest bool
+	state       state
 	// line is the beginning of a line whose end has not arrived.
 	line    []byte
 	head    statusLine
 	framing framing
 	// left is the number of bytes of the content, or of its chunk, that have not arrived.
-	left int64
+	left   int64
+	budget budget
+}
+
+// NewChecker returns a Checker of the response to a request with the given method.
+func NewChecker(method string) Checker {
+	return Checker{headRequest: method == http.MethodHead, budget: fullBudget}
 }
 
 // state is the part of the response that comes next.
@@ -39,7 +43,8 @@
 func (c *Checker) UntilClose() bool { return c.state == inContentUntilClose }
 
 // Check checks the next bytes of the response. It returns how many of them are valid, and an *Error
-// if these are not all. The end of a head is valid only if the whole head is.
+// if these are not all. The end of a head is valid only if the whole head is. Bytes behind the
+// response are not checked.
 func (c *Checker) Check(data []byte) (valid int, err error) {
 	for valid < len(data) {
 		n, err := c.advance(data[valid:])
@@ -75,31 +80,26 @@
 	return int(n)
 }
 
-// advanceLine checks a line if data completes one.
+// advanceLine checks a line if data completes one, and stores its beginning otherwise.
 func (c *Checker) advanceLine(data []byte) (int, error) {
-	line, n, complete := c.takeLine(data)
-	if !complete {
-		return n, nil
-	}
-	err := c.checkLine(line)
-	c.line = c.line[:0]
-	return n, err
-}
-
-// takeLine returns the line at the beginning of data, with its end, and how much of data belongs to
-// it. An incomplete line is stored.
-func (c *Checker) takeLine(data []byte) (line []byte, n int, complete bool) {
 	end := bytes.IndexByte(data, '\n')
+	n := end + 1
+	if end < 0 {
+		n = len(data)
+	}
+	if err := c.budget.spendLine(c.state, len(c.line)+n, n); err != nil {
+		return 0, err
+	}
 	if end < 0 {
 		c.line = append(c.line, data...)
-		return nil, len(data), false
+		return n, nil
 	}
-	n = end + 1
-	if len(c.line) == 0 {
-		return data[:n], n, true
+	line := data[:n]
+	if len(c.line) > 0 {
+		line = append(c.line, line...)
+		c.line = nil
 	}
-	c.line = append(c.line, data[:n]...)
-	return c.line, n, true
+	return n, c.checkLine(line)
 }
 
 // checkLine checks a complete line with its end. In a head, a line feed without a carriage return ends
@@ -130,6 +130,9 @@
 	if len(line) == 0 {
 		return c.endHead()
 	}
+	if err := c.budget.spendField(); err != nil {
+		return err
+	}
 	parsed, err := parseField(Field, line)
 	if err != nil {
 		return err
@@ -171,13 +174,14 @@
 // endHead continues with what follows the head: the content, or another response after an interim
 // one.
 func (c *Checker) endHead() error {
-	kind, length, err := c.framing.content(c.head, c.HeadRequest)
+	kind, length, err := c.framing.content(c.head, c.headRequest)
 	if err != nil {
 		return err
 	}
 	switch {
 	case c.head.status < http.StatusOK:
 		c.state = inStatusLine
+		return c.budget.spendInterim()
 	case kind == chunkedContent:
 		c.state = inChunkSize
 	case kind == contentUntilClose:
--- a/transport/responsecheck/checker_test.go
+++ b/transport/responsecheck/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -11,7 +12,7 @@
 
 // check passes a text to a new Checker, in pieces of a size, and returns how much of it is valid.
 func check(text string, piece int) (valid int, err error) {
-	var checker Checker
+	checker := NewChecker(http.MethodGet)
 	for len(text) > 0 {
 		size := min(piece, len(text))
 		n, err := checker.Check([]byte(text[:size]))
@@ -197,25 +198,25 @@
 // another end, or none.
 func TestUntilClose(t *testing.T) {
 	cases := []struct {
-		text        string
-		headRequest bool
-		untilClose  bool
+		text       string
+		method     string
+		untilClose bool
 	}{
-		{"HTTP/1.1 200 OK\r\nX: y\r\n", false, false},
-		{"HTTP/1.1 200 OK\r\n\r\n", false, true},
-		{"HTTP/1.0 200 OK\r\n\r\nbody", false, true},
-		{"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false, true},
-		{"HTTP/1.1 103 x\r\n\r\n", false, false},
-		{"HTTP/1.1 200 OK\r\n\r\n", true, false},
-		{"HTTP/1.1 204 x\r\n\r\n", false, false},
-		{"HTTP/1.1 304 x\r\n\r\n", false, false},
-		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, false},
-		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false},
-		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, false},
+		{"HTTP/1.1 200 OK\r\nX: y\r\n", http.MethodGet, false},
+		{"HTTP/1.1 200 OK\r\n\r\n", http.MethodGet, true},
+		{"HTTP/1.0 200 OK\r\n\r\nbody", http.MethodGet, true},
+		{"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", http.MethodGet, true},
+		{"HTTP/1.1 103 x\r\n\r\n", http.MethodGet, false},
+		{"HTTP/1.1 200 OK\r\n\r\n", http.MethodHead, false},
+		{"HTTP/1.1 204 x\r\n\r\n", http.MethodGet, false},
+		{"HTTP/1.1 304 x\r\n\r\n", http.MethodGet, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", http.MethodGet, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", http.MethodGet, false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", http.MethodGet, false},
 	}
 	for _, c := range cases {
 		is := is.New(t)
-		checker := Checker{HeadRequest: c.headRequest}
+		checker := NewChecker(c.method)
 		_, err := checker.Check([]byte(c.text))
 		is.NoErr(err)
 		is.Equal(checker.UntilClose(), c.untilClose)
@@ -266,6 +267,48 @@
 	}
 }
 
+// TestBytesWithoutEnd guards against a server that sends parts of a response without end: each is refused
+// at its bound, before which a server may use all of it, and the memory in use stays below it.
+func TestBytesWithoutEnd(t *testing.T) {
+	const ok, chunked = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := []struct {
+		name, begin, repeated string
+		bound                 int // of bytes behind begin
+		wrong                 Part
+	}{
+		{"status line", "HTTP/1.1 200 ", "x", MaximumHead, Field},
+		{"name of a field", ok, "x", MaximumHead, Field},
+		{"value of a field", ok + "X: ", "x", MaximumHead, Field},
+		{"long fields", ok, "X: " + strings.Repeat("x", 1000) + "\r\n", MaximumHead, Field},
+		{"short fields", ok, "X:\r\n", (MaximumFields + 1) * len("X:\r\n"), Field},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", (MaximumInterim + 1) * len("HTTP/1.1 100 Continue\r\n\r\n"), StatusLine},
+		{"fields of interim responses", "", "HTTP/1.1 103 x\r\n" + strings.Repeat("X: "+strings.Repeat("x", 10000)+"\r\n", 5) + "\r\n", MaximumHead, Field},
+		{"extension of a chunk", chunked + "1;", "x", maximumChunkLine, Chunk},
+		{"digits of a size", chunked, "0", maximumChunkLine, Chunk},
+		{"trailers", chunked + "0\r\n", "X: y\r\n", maximumTrailers, Trailer},
+		{"name of a trailer", chunked + "0\r\n", "x", maximumTrailers, Trailer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			checker := NewChecker(http.MethodGet)
+			_, err := checker.Check([]byte(c.begin))
+			is.NoErr(err)
+			sent := 0
+			for err == nil && sent <= 2*MaximumHead {
+				_, err = checker.Check([]byte(c.repeated))
+				sent += len(c.repeated)
+			}
+			var failed *Error
+			is.True(errors.As(err, &failed))
+			is.Equal(failed.Part, c.wrong)
+			is.True(sent <= c.bound+len(c.repeated))
+			is.True(sent >= c.bound-len(c.begin))
+			is.True(cap(checker.line) <= 2*MaximumHead)
+		})
+	}
+}
+
 // TestErrorsHoldNoValues guards against secrets in logs and in answers to callers.
 func TestErrorsHoldNoValues(t *testing.T) {
 	is := is.New(t)
