checkedconn: answers of the store, of processes and of health pages are checked too

Cause: the clients of the store, of control messages and of health pages use Go's reader alone. An answer of the store with status 000 to a write was reported as certainly without effect; with a blank in the name of Store-Era, or chunks beside a length, it was believed; one to a control message or of a health page as well, and one to a control message was read for as long as it came. Answers to control messages and to commands are bounded at 64 MiB, the bound of requests. Event 429 names what a health page sent. Ruled out: package exchange in place of Go's client there: it would change reuse, time limits and repetition for reasons that nobody reported.

--- a/event/events.go
+++ b/event/events.go
@@ -88,6 +88,7 @@
 	LeaveAnnounced         Number = 426
 	LeavingRecalled        Number = 427
 	AnswerBrokenOff        Number = 428
+	HealthAnswerInvalid    Number = 429
 )
 
 // Events of at-most-once claims.
@@ -170,6 +171,7 @@
 	{LeaveAnnounced, "leave-announced", "info", "A back end announced the stop of one of its starts, which was acknowledged: heartbeats of it that arrive later don't open it again."},
 	{LeavingRecalled, "leaving-recalled", "info", "A peer knew that a start of the back end beside this node had announced its stop to the process that ran here before; it gets no requests."},
 	{AnswerBrokenOff, "answer-broken-off", "warn", "An answer broke off or became invalid after its head had been passed on; the connection to the caller was closed, so that the answer does not look complete."},
+	{HealthAnswerInvalid, "health-answer-invalid", "warn", "The health path of the back end beside this node answered with bytes that are no HTTP answer; what was known of it stays."},
 	{ClaimGroupAdopted, "claim-group-adopted", "info", "A new epoch of the claim groups is known to this process."},
 	{ClaimGroupSynced, "claim-group-synced", "info", "This process holds all claims of a claim group and votes in it."},
 	{ClaimGroupPlanned, "claim-group-planned", "info", "This process wrote a new epoch of the claim groups to the store."},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"text/tabwriter"
@@ -11,6 +12,7 @@
 
 	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/transport/checkedconn"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -111,6 +113,12 @@
 	return answers
 }
 
+// maximumStatus bounds the answer of a process, in bytes.
+const maximumStatus = 64 << 20
+
+// statusClient sends the requests of the commands to processes.
+var statusClient = &http.Client{Transport: &http.Transport{DialContext: checkedconn.Dial((&net.Dialer{}).DialContext)}}
+
 // askProcess requests a path at the control address of a process and decodes its JSON
 // answer.
 func askProcess(address, path string, timeout time.Duration, into any) error {
@@ -120,12 +128,13 @@
 	if err != nil {
 		return result.Wrap(result.UsageInvalid, err, "control address %q", address)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := statusClient.Do(request)
 	if err != nil {
 		return result.Wrap(result.NodeUnreachable, err, "no answer from %s", address)
 	}
 	defer response.Body.Close()
-	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+	body := http.MaxBytesReader(nil, response.Body, maximumStatus)
+	if err := json.NewDecoder(body).Decode(into); err != nil {
 		return result.Wrap(result.NodeUnreachable, err, "decoding the answer of %s", address)
 	}
 	return nil
--- a/kernel/control.go
+++ b/kernel/control.go
@@ -10,6 +10,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/transport/checkedconn"
 	"github.com/loomcleat/loomcleat/transport/socket"
 )
 
@@ -19,6 +20,7 @@
 type ControlClient struct {
 	mutex     sync.Mutex
 	transport *http.Transport
+	bounded   http.RoundTripper // transport with a bound on answers
 	clients   map[string]*kratoshttp.Client
 	counters  *Counters
 }
@@ -40,23 +42,41 @@
 	if dial == nil {
 		dial = socket.Dialer{Timeout: controlDialTimeout}.DialContext
 	}
+	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return controlConn{Conn: conn, counters: counters}, nil
+	}
+	transport := &http.Transport{
+		DialContext:         checkedconn.Dial(counted),
+		DisableCompression:  true,
+		MaxIdleConns:        controlIdleConns,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idle,
+	}
 	return &ControlClient{
-		counters: counters,
-		clients:  map[string]*kratoshttp.Client{},
-		transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dial(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return controlConn{Conn: conn, counters: counters}, nil
-			},
-			DisableCompression:  true,
-			MaxIdleConns:        controlIdleConns,
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     idle,
-		},
+		counters:  counters,
+		clients:   map[string]*kratoshttp.Client{},
+		transport: transport,
+		bounded:   boundedTransport{next: transport},
+	}
+}
+
+// boundedTransport bounds the length of answers to control messages, which kratos reads whole.
+type boundedTransport struct {
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	answer, err := t.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
 	}
+	answer.Body = http.MaxBytesReader(nil, answer.Body, maximumControlBody)
+	return answer, nil
 }
 
 // client returns the client of an address. When the table is full, it is cleared first.
@@ -67,7 +87,7 @@
 		return known, nil
 	}
 	created, err := kratoshttp.NewClient(context.Background(),
-		kratoshttp.WithEndpoint(address), kratoshttp.WithTransport(c.transport), kratoshttp.WithTimeout(0))
+		kratoshttp.WithEndpoint(address), kratoshttp.WithTransport(c.bounded), kratoshttp.WithTimeout(0))
 	if err != nil {
 		return nil, result.Wrap(result.NodeUnreachable, err, "control address %s", address)
 	}
--- a/plugin/forward/health.go
+++ b/plugin/forward/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/transport/checkedconn"
+	"github.com/loomcleat/loomcleat/transport/responsecheck"
 )
 
 // recordUnreachable records that no connection to the back end could be opened.
@@ -59,7 +62,7 @@
 func (f *forwarder) pollHealth(ctx context.Context) {
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
-	client := &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newHealthClient()
 	for {
 		f.setDown(!f.acceptsConnection(ctx))
 		if path := f.process.Settings.BackendHealthPath; path != "" {
@@ -74,6 +77,12 @@
 	}
 }
 
+// newHealthClient returns a client that requests the health path, on a connection of its own each time.
+func newHealthClient() *http.Client {
+	dial := checkedconn.Dial((&net.Dialer{Timeout: healthTimeout}).DialContext)
+	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
 // acceptsConnection reports whether the back end accepts a connection. If ctx has ended, it reports
 // true: the failure then doesn't show that the back end is down.
 func (f *forwarder) acceptsConnection(ctx context.Context) bool {
@@ -106,6 +115,7 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
+		f.logInvalidHealth(err)
 		return f.draining.Load() // no response: keep the last known state
 	}
 	defer response.Body.Close()
@@ -117,6 +127,15 @@
 	return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(string(body), drainingWord)
 }
 
+// logInvalidHealth logs an error of a health request if the back end has sent an invalid response. Other
+// errors are those of a back end that is down or slow, which setDown logs.
+func (f *forwarder) logInvalidHealth(err error) {
+	var invalid *responsecheck.Error
+	if errors.As(err, &invalid) {
+		f.process.Log.Emit(event.HealthAnswerInvalid, "backend", f.process.Settings.Backend, "error", invalid)
+	}
+}
+
 func (f *forwarder) setDraining(draining bool) {
 	if f.draining.Swap(draining) == draining {
 		return
--- a/store/consulkv/client.go
+++ b/store/consulkv/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/store"
+	"github.com/loomcleat/loomcleat/transport/checkedconn"
 )
 
 // maximumResponse is the maximum number of bytes read from one answer.
@@ -46,7 +47,7 @@
 		config.Timeout = defaultTimeout
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: config.Timeout}).DialContext,
+		DialContext:         checkedconn.Dial((&net.Dialer{Timeout: config.Timeout}).DialContext),
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
