kernel: a stopping process answers what it has passed on

Callers saw: in a planned stop, requests that came late were taken and passed on, and cut off without an answer at the end, among them requests that may not be repeated. Cause: a stopping process takes requests for half of its time whatever they take, waits for them until nine tenths of it, and then closed their connections. Closing took up to 2 s more, also past the time at which the platform kills the process. Change: a call that begins in a stopping process has the end of the drain time as its deadline, which the back end is told and admission checks. Calls still in flight then are ended, with 3008 (unknown outcome) if they were sent and 2004 if not, and the process waits until they are answered. Closing ends within stop_within; event 110 counts what could not be answered. Calls that wait or are in flight when their context ends learn in one place whether the deadline, the caller or the stop ended it. Ruled out: refusing requests whose deadline is later than the end of the stop (nearly all, docs/design/stopping.md).

--- a/event/events.go
+++ b/event/events.go
@@ -23,6 +23,7 @@
 	SettingsReloaded Number = 107
 	ReloadFailed     Number = 108
 	MachineSuspended Number = 109
+	CallsCutOff      Number = 110
 )
 
 // Events of policy distribution.
@@ -116,11 +117,12 @@
 	{ProcessDraining, "process-draining", "info", "The process was told to stop: it announces this, refuses new requests and finishes those in flight."},
 	{ProcessStopped, "process-stopped", "info", "The process has ended in order."},
 	{StartFailed, "start-failed", "error", "The process could not start; the numbered result says why."},
-	{DrainTimedOut, "drain-timed-out", "warn", "Requests were still in flight when the drain timeout passed and were cut off."},
+	{DrainTimedOut, "drain-timed-out", "warn", "Requests were still in flight when the drain timeout passed; they are ended, and answered unless their answer had begun."},
 	{LibraryMessage, "library-message", "info", "A message of the HTTP framework."},
 	{SettingsReloaded, "settings-reloaded", "info", "The settings file was read again; the line names the keys that changed and those that wait for a restart."},
 	{ReloadFailed, "reload-failed", "error", "The settings file was read again and is not valid; the settings before it stay in force."},
 	{MachineSuspended, "machine-suspended", "warn", "The machine was suspended; ages and deadlines include that time."},
+	{CallsCutOff, "calls-cut-off", "error", "Requests that a stopping process had ended could not be answered in time; their connections are closed."},
 	{DocumentAdopted, "document-adopted", "info", "A higher revision of the policy tree or of the claim groups is in force in this process."},
 	{DocumentRejected, "document-rejected", "error", "A policy tree or claim groups document failed its check; the revision before it stays in force."},
 	{StoreUnreachable, "store-unreachable", "warn", "The key-value store does not answer; the last policy stays in force and the read is retried."},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,7 +26,7 @@
 	_ "github.com/loomcleat/loomcleat/plugin/all" // registers all plug-ins
 )
 
-// stopMargin is added to the announce and drain times to get the stop timeout of the
+// stopMargin is added to the times of a graceful stop to get the stop timeout of the
 // application. Only a process that hangs reaches it.
 const stopMargin = 10 * time.Second
 
@@ -98,8 +98,7 @@
 		return err
 	}
 	go newReloader(source, s, process, log).run(process.Context())
-	announce, drain := s.StopTimes()
-	return RunServers(announce+drain+stopMargin, process)
+	return RunServers(s.StopTimes().Whole()+stopMargin, process)
 }
 
 // RunServers runs servers in one application until it receives SIGTERM or SIGINT. The
--- a/kernel/account.go
+++ b/kernel/account.go
@@ -56,7 +56,7 @@
 // is the reason. err is the error of writeAnswer.
 func (p *Process) logBrokenOff(call *Call, direction string, err error, taken time.Duration) {
 	var broken *brokenOffError
-	if !errors.As(err, &broken) || call.Context.Err() == context.Canceled {
+	if !errors.As(err, &broken) || context.Cause(call.Context) == context.Canceled {
 		return
 	}
 	pairs := append([]any{"direction", direction, "cause", bounded(broken.cause.Error()), "taken_ms", taken.Milliseconds()}, callPairs(call)...)
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/settings"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -71,28 +72,41 @@
 
 // Stop shuts the process down gracefully. For the announce time its readiness probe fails
 // but it still accepts requests; near the end of that time it announces to its peers that
-// it leaves. Then it refuses new requests, waits for those in flight, and stops. It
-// implements transport.Server of kratos.
+// it leaves. Then it refuses new requests, waits for those in flight, ends those that take
+// too long, and stops. It implements transport.Server of kratos.
 func (p *Process) Stop(ctx context.Context) error {
 	p.stopOnce.Do(func() { p.stop(ctx) })
 	return nil
 }
 
 func (p *Process) stop(ctx context.Context) {
+	times := p.Settings.StopTimes()
+	p.stopDeadline.set(times.Announce + times.Drain)
 	p.leaving.Store(true)
 	p.Log.Emit(event.ProcessDraining, "id", p.ID, "in_flight", p.inFlight.Load())
-	p.waitAnnounced(ctx)
+	p.waitAnnounced(ctx, times.Announce)
 	p.draining.Store(true)
-	if !p.waitIdle(ctx) {
-		p.Log.Emit(event.DrainTimedOut, "id", p.ID, "in_flight", p.inFlight.Load())
-	}
-	p.servers.stop()
+	p.finishCalls(ctx, times)
+	p.servers.stop(times.Close / 2)
 	p.cancel()
 	p.Control.Close()
 	p.Log.Emit(event.ProcessStopped, "id", p.ID)
 	close(p.stopped)
 }
 
+// finishCalls waits for the calls in flight. It ends those that are left at the stop deadline, and
+// waits until they have been answered.
+func (p *Process) finishCalls(ctx context.Context, times settings.StopTimes) {
+	if p.waitIdle(ctx, p.stopDeadline.left()) {
+		return
+	}
+	p.Log.Emit(event.DrainTimedOut, "id", p.ID, "in_flight", p.inFlight.Load())
+	p.stopDeadline.endCalls()
+	if !p.waitIdle(ctx, times.Close/2) {
+		p.Log.Emit(event.CallsCutOff, "id", p.ID, "in_flight", p.inFlight.Load())
+	}
+}
+
 // drainHookTimeout is the minimum timeout of the OnDrain functions.
 const drainHookTimeout = 5 * time.Second
 
@@ -111,8 +125,7 @@
 
 // waitAnnounced waits for the announce time, announces the leave to the peers within it,
 // and waits for the OnDrain functions.
-func (p *Process) waitAnnounced(ctx context.Context) {
-	announce, _ := p.Settings.StopTimes()
+func (p *Process) waitAnnounced(ctx context.Context, announce time.Duration) {
 	Pause(ctx, announce-peerNotice)
 	p.announce(ctx)
 	announced := time.NewTimer(min(announce, peerNotice))
@@ -140,11 +153,10 @@
 	}()
 }
 
-// waitIdle waits until no request is in flight. It returns false when the drain timeout
-// passes or ctx ends first.
-func (p *Process) waitIdle(ctx context.Context) bool {
-	_, drain := p.Settings.StopTimes()
-	ctx, cancel := context.WithTimeout(ctx, drain)
+// waitIdle waits until no request is in flight. It returns false when the timeout passes or
+// ctx ends first.
+func (p *Process) waitIdle(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -72,6 +72,7 @@
 	leaving        atomic.Bool
 	leaveAnnounced atomic.Bool
 	draining       atomic.Bool
+	stopDeadline   stopDeadline
 	context        context.Context
 	cancel         context.CancelFunc
 	stopOnce       sync.Once
@@ -118,6 +119,7 @@
 		stopped:   make(chan struct{}),
 	}
 	p.context, p.cancel = context.WithCancel(context.Background())
+	p.stopDeadline = newStopDeadline()
 	p.Policy.Store(policy.NewIndex(nil))
 	p.Members.Store(&[]membership.Member{})
 	p.executions = newExecutionTable(p.ID)
--- a/kernel/servers.go
+++ b/kernel/servers.go
@@ -23,7 +23,6 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	stopTimeout       = 2 * time.Second
 )
 
 func newServers(p *Process) servers {
@@ -80,9 +79,9 @@
 	}
 }
 
-// stop shuts the servers down gracefully, then closes the remaining connections.
-func (s *servers) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+// stop shuts the servers down gracefully, then closes the connections that remain after the timeout.
+func (s *servers) stop(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, server := range s.list {
 		_ = server.Stop(ctx) // remaining connections are closed below
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -23,7 +23,8 @@
 	call, err := build(r)
 	if err == nil {
 		var cancel context.CancelFunc
-		call.Context, cancel = context.WithTimeout(r.Context(), call.Deadline.Left())
+		p.limitToStop(call)
+		call.Context, cancel = p.stopDeadline.contextOf(r.Context(), call.Deadline)
 		defer cancel()
 		defer watchPeer(r, cancel)()
 		if call.Inbound {
@@ -48,6 +49,14 @@
 	}
 }
 
+// limitToStop makes a call that begins in a stopping process end before the process does.
+func (p *Process) limitToStop(call *Call) {
+	call.Deadline = p.stopDeadline.limit(call.Deadline)
+	if call.Inbound {
+		call.Execution.Deadline = call.Deadline
+	}
+}
+
 // prepareHead adds the headers of this process to the head of an answer or of the error err.
 // If later requests on the connection have been started, it first buffers the beginning of
 // the answer, so that a truncated answer does not close the connection and lose theirs. It
--- a/kernel/transmit.go
+++ b/kernel/transmit.go
@@ -103,25 +103,18 @@
 }
 
 // classify converts a transport error to a *result.Error, by whether the request was
-// written, whether ctx was cancelled or timed out, and whether the answer was invalid.
+// written, why ctx ended, if it did, and whether the answer was invalid.
 func (t *Transmitter) classify(ctx context.Context, err error) error {
 	var failed *exchange.Error
 	wrote := !errors.As(err, &failed) || failed.Wrote
 	var invalid *responsecheck.Error
-	cause := context.Cause(ctx)
-	timedOut := errors.Is(cause, context.DeadlineExceeded)
-	cancelled := cause != nil && !timedOut
 	switch {
-	case !wrote && timedOut:
-		return result.Wrap(result.DeadlineTooShort, err, "no connection within the time left")
-	case !wrote && cancelled:
-		return result.Wrap(result.CallerGone, err, "the caller went away before the request was sent")
+	case !wrote && ctx.Err() != nil:
+		return unsentError(ctx, "a connection", err)
 	case !wrote:
 		return result.Wrap(t.refused, err, "the request was not sent").WithUsualRetryAfter()
-	case timedOut:
-		return result.Wrap(result.DeadlineExceeded, err, "no answer within the time left")
-	case cancelled:
-		return result.Wrap(result.CallerCancelled, err, "the caller went away while the request was in flight")
+	case ctx.Err() != nil:
+		return unansweredError(ctx, err)
 	case errors.As(err, &invalid):
 		return result.Wrap(result.AnswerInvalid, err, "%v", invalid)
 	default:
--- a/kernel/transmit_test.go
+++ b/kernel/transmit_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
 )
@@ -145,13 +146,14 @@
 	cases := []struct {
 		name    string
 		address string
-		cancel  bool // the caller cancels; otherwise the timeout passes
+		cause   error // with which the context ends; nil when the timeout passes
 		code    result.Code
 		notRun  bool
 	}{
-		{"no connection", closed.Addr().String(), false, result.NodeRefused, true},
-		{"no answer in time", silent.Addr().String(), false, result.DeadlineExceeded, false},
-		{"cancelled by the caller", silent.Addr().String(), true, result.CallerCancelled, false},
+		{"no connection", closed.Addr().String(), nil, result.NodeRefused, true},
+		{"no answer in time", silent.Addr().String(), nil, result.DeadlineExceeded, false},
+		{"cancelled by the caller", silent.Addr().String(), context.Canceled, result.CallerCancelled, false},
+		{"ended by the stop of the process", silent.Addr().String(), errStopping, result.Stopped, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -159,9 +161,10 @@
 			transmitter := NewTransmitter(TransmitterConfig{Refused: result.NodeRefused})
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			if c.cancel {
-				ctx, cancel = context.WithCancel(t.Context())
-				time.AfterFunc(100*time.Millisecond, cancel)
+			if c.cause != nil {
+				var end context.CancelCauseFunc
+				ctx, end = context.WithCancelCause(t.Context())
+				time.AfterFunc(100*time.Millisecond, func() { end(c.cause) })
 			}
 			_, err := transmitter.Send(ctx, newTestCall(http.MethodPost, "body"), c.address, http.Header{})
 			var typed *result.Error
@@ -183,3 +186,40 @@
 	is.Equal(len(header), 1)
 	is.Equal(header.Get("X-Kept"), "v")
 }
+
+// TestUnsent guards against telling a caller that it went away, or that a request may have run, when
+// the process stopped or the deadline passed before the request was sent.
+func TestUnsent(t *testing.T) {
+	cases := map[result.Code]error{
+		result.DeadlineTooShort: context.DeadlineExceeded,
+		result.Draining:         errStopping,
+		result.CallerGone:       context.Canceled,
+	}
+	for code, cause := range cases {
+		is := is.New(t)
+		ctx, end := context.WithCancelCause(t.Context())
+		end(cause)
+		err := (&Call{Context: ctx}).Unsent("a place", nil)
+		is.Equal(err.Code, code)
+		is.True(err.NotRun())
+	}
+}
+
+// TestCallsEndBeforeProcess guards against a call that is passed on by a stopping process and outlasts
+// it, and against ending calls of a process that does not stop.
+func TestCallsEndBeforeProcess(t *testing.T) {
+	is := is.New(t)
+	deadline := newStopDeadline()
+	long := clock.Now().Add(time.Hour)
+	is.Equal(deadline.limit(long), long)
+	ctx, cancel := deadline.contextOf(t.Context(), long)
+	defer cancel()
+	deadline.set(time.Minute)
+	is.True(deadline.limit(long).Left() <= time.Minute)
+	soon := clock.Now().Add(time.Second)
+	is.Equal(deadline.limit(soon), soon)
+	is.NoErr(ctx.Err())
+	deadline.endCalls()
+	<-ctx.Done()
+	is.Equal(context.Cause(ctx), errStopping)
+}
--- a/plugin/admission/wait.go
+++ b/plugin/admission/wait.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -116,10 +115,7 @@
 		a.controller.Done(time.Now(), ticket, admission.Outcome{})
 		a.advanceLater()
 	}
-	if context.Cause(call.Context) == context.DeadlineExceeded {
-		return result.New(result.DeadlineTooShort, "the deadline passed while waiting for a place")
-	}
-	return result.New(result.CallerGone, "the caller went away while waiting for a place")
+	return call.Unsent("a place", nil)
 }
 
 // advanceLater makes sure that the controller is called when the rate limit of the back end has
--- a/result/codes.go
+++ b/result/codes.go
@@ -65,6 +65,7 @@
 	AnswerMismatch   Code = 3005
 	CrashSuspected   Code = 3006
 	AnswerInvalid    Code = 3007
+	Stopped          Code = 3008
 )
 
 // Codes of requests that are not acceptable as they are.
@@ -127,6 +128,7 @@
 	{AnswerMismatch, "answer-mismatch", http.StatusBadGateway, false, "An answer did not carry the identity of its request and was discarded."},
 	{CrashSuspected, "crash-suspected", http.StatusBadGateway, false, "The connection to the back end broke, as it did at others that crashed while they ran this request, so that it is not sent again."},
 	{AnswerInvalid, "answer-invalid", http.StatusBadGateway, false, "The back end or a node sent bytes that are no HTTP answer, and they were discarded."},
+	{Stopped, "stopped", http.StatusBadGateway, false, "The process stopped while the request was in flight, and could not wait for its answer."},
 	{BadRequest, "bad-request", http.StatusBadRequest, true, "The request is malformed."},
 	{KeyReused, "key-reused", http.StatusUnprocessableEntity, true, "The Idempotency-Key was used before for a different request."},
 	{NoRoute, "no-route", http.StatusNotFound, true, "No route of the policy in force leads to the host and path."},
--- a/result/conclusion.go
+++ b/result/conclusion.go
@@ -77,6 +77,7 @@
 	AnswerMismatch:     {Next: MayHaveRun, BackEndFault: true},
 	CrashSuspected:     {BackEndFault: true},
 	AnswerInvalid:      {Next: MayHaveRun, BackEndFault: true},
+	Stopped:            {Next: MayHaveRun},
 }
 
 // Conclusion returns the Conclusion of an attempt that ended with c.
