membership: records that no process can have written are ignored

Callers saw: nothing here; checked for peers, as an odd entry may be read there too. Cause: any record that decodes was taken for a member: without an id, with a port out of range, an unknown status, or a generation at the address of this process after which its own overflows, so that others would take it for an earlier process. Change: the receiver of a control message drops such records, with event 312, and refuses a message whose sender has one (400). The state machine is unchanged.

--- a/event/events.go
+++ b/event/events.go
@@ -53,6 +53,7 @@
 	MachineListUp       Number = 309
 	PeerRegained        Number = 310
 	MemberRecovered     Number = 311
+	MemberRefused       Number = 312
 )
 
 // Events of request traffic.
@@ -144,6 +145,7 @@
 	{MachineListUp, "machine-list-up", "info", "The machine list answers again."},
 	{PeerRegained, "peer-regained", "info", "A seed address that did not answer does so again."},
 	{MemberRecovered, "member-recovered", "info", "A member that was suspected or dead is alive."},
+	{MemberRefused, "member-refused", "warn", "A record of a process that no process can have written, such as one with a port out of range, was ignored."},
 	{BackendDown, "backend-down", "warn", "The back end beside this node refuses connections."},
 	{BackendUp, "backend-up", "info", "The back end beside this node accepts connections again."},
 	{BackendDraining, "backend-draining", "info", "The back end beside this node said that it is draining."},
--- a/plugin/membership/gossip.go
+++ b/plugin/membership/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/membership"
+	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
 )
 
@@ -62,6 +63,10 @@
 	envelope := m.envelope(message)
 	var reply wire.Envelope
 	err := m.process.Control.Invoke(ctx, address, http.MethodPost, wire.PathGossip, &envelope, &reply)
+	if err != nil {
+		return reply, err
+	}
+	reply.Membership, err = m.withRecords(reply.Membership)
 	return reply, err
 }
 
@@ -89,8 +94,13 @@
 	if !kernel.ReadJSON(w, r, &envelope) {
 		return
 	}
+	received, err := m.withRecords(envelope.Membership)
+	if err != nil {
+		result.From(err).WriteHTTP(w)
+		return
+	}
 	reply, err := kernel.Query(r.Context(), m.process.Loop, func(now time.Time) membership.Message {
-		answer := m.stateMachine.Receive(now, envelope.Membership)
+		answer := m.stateMachine.Receive(now, received)
 		m.publish(now)
 		return answer
 	})
@@ -98,11 +108,11 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	if envelope.Membership.Kind == membership.PingThrough {
-		reply.OK = m.probeFor(envelope.Membership.Target)
+	if received.Kind == membership.PingThrough {
+		reply.OK = m.probeFor(received.Target)
 	}
 	kernel.WriteJSON(w, m.envelope(reply))
-	m.dispatch(envelope.Membership.From.Control, envelope, time.Time{})
+	m.dispatch(received.From.Control, envelope, time.Time{})
 }
 
 // probeFor probes an address on behalf of another process and reports whether it answered.
