Broken answers among pipelined ones: a test; responsecheck: a table of the bytes of text

Handled already: an answer that is invalid or breaks off within the first 64 KiB is replaced by an error, and the others arrive. Change: e2e TestInvalidAnswerAmongPipelined, for six kinds.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -192,14 +192,17 @@
 // request, in which %ID stands for the common fields, and then closes the connection.
 func startScriptedMesh(t *testing.T) (entry, deep *platformNode) {
 	t.Helper()
-	return startRawMesh(t, func(conn *net.TCPConn, request *http.Request, common string) {
-		script, err := strconv.Unquote(request.Header.Get("Answer"))
-		if err != nil {
-			script = "HTTP/1.1 200 OK\r\n%IDContent-Length: 0\r\n\r\n"
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, strings.ReplaceAll(script, "%ID", common))
-	})
+	return startRawMesh(t, serveScript)
+}
+
+// serveScript is a rawBackEnd that answers as the request asks for.
+func serveScript(conn *net.TCPConn, request *http.Request, common string) {
+	script, err := strconv.Unquote(request.Header.Get("Answer"))
+	if err != nil {
+		script = "HTTP/1.1 200 OK\r\n%IDContent-Length: 0\r\n\r\n"
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	_, _ = io.WriteString(conn, strings.ReplaceAll(script, "%ID", common))
 }
 
 // sendScript sends a request that the back end answers with a script. It returns the answer with its
@@ -300,3 +303,47 @@
 		is.Equal(response.Trailer, http.Header{"X-Sum": {"5"}})
 	}
 }
+
+// TestInvalidAnswerAmongPipelined guards against a broken answer that takes those of the other pipelined
+// requests with it, or is passed on among them.
+func TestInvalidAnswerAmongPipelined(t *testing.T) {
+	stub := metastore.NewServer()
+	store := httptest.NewServer(stub.Handler())
+	t.Cleanup(store.Close)
+	stub.Put("op/config", platformConfiguration(3, "front"))
+	front := newPlatformNode(t, "front")
+	front.slots = 64
+	front.startWithBackEnd(t, store.URL, startRawBackEnd(t, serveScript))
+	front.awaitReady(t)
+	front.getUntilServed(t, "/front/x", "")
+	const sound = "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\n\r\nsound"
+	for name, broken := range map[string]string{
+		"status 000":               "HTTP/1.1 000 x\r\n%IDContent-Length: 5\r\n\r\nwrong",
+		"blank in a name":          "HTTP/1.1 200 OK\r\n%IDX Y: z\r\nContent-Length: 5\r\n\r\nwrong",
+		"shorter than its length":  "HTTP/1.1 200 OK\r\n%IDContent-Length: 50\r\n\r\nwrong",
+		"blank in a trailer":       "HTTP/1.1 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX Y: z\r\n\r\n",
+		"interim without an end":   "HTTP/1.1 103 x\r\n%ID\r\n",
+		"chunk that is not closed": "HTTP/1.1 200 OK\r\n%IDTransfer-Encoding: chunked\r\n\r\n5\r\nwrong",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := front.dial(t)
+			var requests strings.Builder // sent at once, so that the later ones begin before the first is answered
+			for _, script := range []string{sound, broken, sound} {
+				fmt.Fprintf(&requests, "GET /front/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: row%d\r\nX-Deadline-Remaining: 5000\r\nAnswer: %s\r\n\r\n",
+					attemptCount.Add(1), strconv.Quote(script))
+			}
+			_, err := io.WriteString(conn, requests.String())
+			is.NoErr(err)
+			reader := bufio.NewReader(conn)
+			for _, want := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK} {
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, want)
+				body, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.Equal(string(body) == "sound", want == http.StatusOK)
+			}
+		})
+	}
+}
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -29,13 +29,12 @@
 
 	// State of the exchange in flight.
 	written          atomic.Int64 // request bytes written
-	headBudget       int64        // remaining bytes allowed before the body
 	checker          responsecheck.Checker
-	readErr          error         // ended the reads of the response
-	reader           *bufio.Reader // nil between exchanges
-	stopContextWatch func() bool   // unregisters the function that closes the connection when the context ends
-	upload           *upload       // nil if the request was written before the response is read
-	contextDone      <-chan struct{}
+	readErr          error           // ended the reads of the response, nil before
+	reader           *bufio.Reader   // nil between exchanges
+	stopContextWatch func() bool     // unregisters the function that closes the connection when the context ends
+	upload           *upload         // nil if the request was written before the response is read
+	contextDone      <-chan struct{} // closed at the end of the context
 }
 
 // upload is the write of a request in the background.
--- a/transport/exchange/doc.go
+++ b/transport/exchange/doc.go
@@ -1,6 +1,8 @@
 // Package exchange is an HTTP/1.1 client for forwarded requests. It owns a pool
 // of idle connections and runs one request at a time on each connection.
-// Requests and responses are encoded and decoded by net/http.
+// Requests and responses are encoded and decoded by net/http; package responsecheck
+// decides before which bytes are a response, and package socket tells whether the end
+// of a connection is an orderly one.
 //
 // It replaces http.Transport for two reasons. http.Transport resends a request
 // by itself when a reused connection turns out to be closed, which could execute
--- a/transport/responsecheck/framing.go
+++ b/transport/responsecheck/framing.go
@@ -12,12 +12,18 @@
 	chunked bool
 }
 
+// Names of the fields that tell the length.
+const (
+	nameLength = "Content-Length"
+	nameCoding = "Transfer-Encoding"
+)
+
 // record records a field if it tells the length.
 func (f *framing) record(told field) error {
 	switch {
-	case bytes.EqualFold(told.name, []byte("Content-Length")):
+	case len(told.name) == len(nameLength) && bytes.EqualFold(told.name, []byte(nameLength)):
 		return f.recordLength(string(told.value))
-	case bytes.EqualFold(told.name, []byte("Transfer-Encoding")):
+	case len(told.name) == len(nameCoding) && bytes.EqualFold(told.name, []byte(nameCoding)):
 		return f.recordCoding(told.value)
 	default:
 		return nil
--- a/transport/responsecheck/statusline.go
+++ b/transport/responsecheck/statusline.go
@@ -47,13 +47,21 @@
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
 // invalidTextByte returns the index of the first byte that a reason phrase or the value of a field
-// must not hold, -1 if there is none. Allowed are tabs, blanks, visible characters and bytes above
-// ASCII.
+// must not hold, -1 if there is none.
 func invalidTextByte(text []byte) int {
 	for i, b := range text {
-		if (b < ' ' && b != '\t') || b == 0x7f {
+		if !isTextByte[b] {
 			return i
 		}
 	}
 	return -1
 }
+
+// isTextByte tells for each byte whether it is a tab, a blank, a visible character or above ASCII.
+var isTextByte = func() (allowed [256]bool) {
+	for b := ' '; b <= 0xff; b++ {
+		allowed[b] = b != 0x7f
+	}
+	allowed['\t'] = true
+	return allowed
+}()
