internal/standin/rawserver: one server that sends bytes of a test's choice

Cause: the tests of broken answers held the same accept loop four times. Change: they share a stand-in. Safe: the tests keep their assertions.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+	"github.com/loomcleat/loomcleat/internal/standin/rawserver"
 	"github.com/loomcleat/loomcleat/result"
 )
 
@@ -30,25 +31,10 @@
 // startRawBackEnd starts a back end and returns its address.
 func startRawBackEnd(t *testing.T, serve rawBackEnd) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					serve(conn.(*net.TCPConn), request, "X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nConnection: close\r\n")
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return rawserver.Start(t, func(conn *net.TCPConn, request *http.Request) bool {
+		serve(conn, request, "X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nConnection: close\r\n")
+		return false
+	})
 }
 
 // startRawMesh starts a node beside a raw back end of the service deep, and an entry to it, which is
--- a/kernel/control_test.go
+++ b/kernel/control_test.go
@@ -1,7 +1,6 @@
 package kernel
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/internal/standin/rawserver"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
 )
@@ -18,27 +18,13 @@
 // startBrokenPeer starts a process that answers a control message with a text, and then with another
 // one without end.
 func startBrokenPeer(t *testing.T, text, withoutEnd string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				_, err := io.WriteString(conn, text)
-				for err == nil && withoutEnd != "" {
-					_, err = io.WriteString(conn, withoutEnd)
-				}
-			}()
+	return rawserver.Start(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		_, err := io.WriteString(conn, text)
+		for err == nil && withoutEnd != "" {
+			_, err = io.WriteString(conn, withoutEnd)
 		}
-	}()
-	return listener.Addr().String()
+		return false
+	})
 }
 
 // TestBrokenAnswersOfPeersAreNotBelieved guards against decoding bytes that are no answer to a control
--- a/plugin/forward/health_test.go
+++ b/plugin/forward/health_test.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/loomcleat/loomcleat/event"
+	"github.com/loomcleat/loomcleat/internal/standin/rawserver"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/ratelimit"
 	"github.com/loomcleat/loomcleat/settings"
@@ -28,21 +30,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				_, _ = conn.Read(make([]byte, 4096))
+			address := rawserver.Start(t, func(conn *net.TCPConn, _ *http.Request) bool {
 				_, _ = io.WriteString(conn, c.text)
-			}()
+				return false
+			})
 			f := &forwarder{process: &kernel.Process{
 				Log:       event.Discard(),
-				Settings:  settings.Settings{Backend: listener.Addr().String()},
+				Settings:  settings.Settings{Backend: address},
 				RateLimit: &ratelimit.Limiter{},
 			}}
 			is.Equal(f.reportsDraining(t.Context(), newHealthClient(), "/health"), c.draining)
--- a/transport/checkedconn/conn_test.go
+++ b/transport/checkedconn/conn_test.go
@@ -1,56 +1,22 @@
 package checkedconn
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/internal/standin/rawserver"
 	"github.com/loomcleat/loomcleat/transport/responsecheck"
 )
 
-// startServer starts a server that answers each request with a function, and counts connections.
-func startServer(t *testing.T, answer func(conn net.Conn, request *http.Request)) (address string, connections *atomic.Int64) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	connections = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			go serve(conn, answer)
-		}
-	}()
-	return listener.Addr().String(), connections
-}
-
-func serve(conn net.Conn, answer func(conn net.Conn, request *http.Request)) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		answer(conn, request)
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-	}
-}
-
 func newClient(t *testing.T) *http.Client {
 	transport := &http.Transport{DialContext: Dial((&net.Dialer{}).DialContext), DisableCompression: true}
 	t.Cleanup(transport.CloseIdleConnections)
@@ -80,7 +46,11 @@
 		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", responsecheck.MaximumHead),
 	} {
 		is := is.New(t)
-		address, _ := startServer(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, text) })
+		address := rawserver.Start(t, func(conn *net.TCPConn, request *http.Request) bool {
+			_, _ = io.WriteString(conn, text)
+			_, err := io.Copy(io.Discard, request.Body)
+			return err == nil
+		})
 		_, err := fetch(newClient(t), address, "request")
 		var invalid *responsecheck.Error
 		is.True(errors.As(err, &invalid))
@@ -97,8 +67,12 @@
 		"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	}
 	var served atomic.Int64
-	address, connections := startServer(t, func(conn net.Conn, _ *http.Request) {
-		_, _ = io.WriteString(conn, texts[int(served.Add(1))%len(texts)])
+	var connections sync.Map
+	address := rawserver.Start(t, func(conn *net.TCPConn, request *http.Request) bool {
+		connections.Store(conn, true)
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, err := io.WriteString(conn, texts[int(served.Add(1))%len(texts)])
+		return err == nil
 	})
 	client := newClient(t)
 	for range 3 * len(texts) {
@@ -106,18 +80,20 @@
 		is.NoErr(err)
 		is.Equal(content, "ok")
 	}
-	is.Equal(connections.Load(), int64(1))
+	count := 0
+	connections.Range(func(any, any) bool { count++; return true })
+	is.Equal(count, 1)
 }
 
 // TestResetIsNoEnd guards against taking a part of a response without a length for the whole after a
 // reset, which the writer of the request may learn in place of the reader.
 func TestResetIsNoEnd(t *testing.T) {
 	is := is.New(t)
-	address, _ := startServer(t, func(conn net.Conn, request *http.Request) {
+	address := rawserver.Start(t, func(conn *net.TCPConn, request *http.Request) bool {
 		_, _ = io.CopyN(io.Discard, request.Body, 1000)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
+		_ = conn.SetLinger(0)
+		return false
 	})
 	long := strings.Repeat("x", 8<<20)
 	for range 40 {
@@ -129,10 +105,10 @@
 // TestResponseWithoutLength guards against refusing a whole response that ends with its connection.
 func TestResponseWithoutLength(t *testing.T) {
 	is := is.New(t)
-	address, _ := startServer(t, func(conn net.Conn, request *http.Request) {
+	address := rawserver.Start(t, func(conn *net.TCPConn, request *http.Request) bool {
 		_, _ = io.Copy(io.Discard, request.Body)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
-		_ = conn.Close()
+		return false
 	})
 	content, err := fetch(newClient(t), address, "request")
 	is.NoErr(err)
