responsecheck: agrees with Go's reader, which comes next, on every response that it accepts

Cause: blanks between the size of a chunk and its extension, and sizes of more than 16 digits, were accepted, but Go's reader refuses them, with an error that does not name them. The check of control connections did not see the socket behind the counter of bytes, so that it could not tell a reset. The counter wraps the check.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -95,7 +95,6 @@
 // TestResetDuringUploadReachesCaller guards against a caller that takes a part of an answer without
 // a length for the whole, since the back end reset the connection while the upload was being written.
 func TestResetDuringUploadReachesCaller(t *testing.T) {
-	const partHeader = "HTTP/1.1 200 OK\r\n%s\r\n%s"
 	sizes := []int{1, 3000, 100 << 10}
 	var served atomic.Int64
 	entry, deep := startRawMesh(t, func(conn *net.TCPConn, request *http.Request, common string) {
@@ -105,7 +104,7 @@
 		}
 		_, _ = io.CopyN(io.Discard, request.Body, 64<<10)
 		number := int(served.Add(1))
-		_, _ = fmt.Fprintf(conn, partHeader, common, strings.Repeat("x", sizes[number%len(sizes)]))
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", common, strings.Repeat("x", sizes[number%len(sizes)]))
 		time.Sleep(time.Duration(number%2) * 5 * time.Millisecond)
 		_ = conn.SetLinger(0)
 		_ = conn.Close()
--- a/kernel/control.go
+++ b/kernel/control.go
@@ -42,15 +42,15 @@
 	if dial == nil {
 		dial = socket.Dialer{Timeout: controlDialTimeout}.DialContext
 	}
-	counted := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return controlConn{Conn: conn, counters: counters}, nil
-	}
+	dialChecked := checkedconn.Dial(dial)
 	transport := &http.Transport{
-		DialContext:         checkedconn.Dial(counted),
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialChecked(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return controlConn{Conn: conn, counters: counters}, nil
+		},
 		DisableCompression:  true,
 		MaxIdleConns:        controlIdleConns,
 		MaxIdleConnsPerHost: 4,
--- a/plugin/membership/gossip.go
+++ b/plugin/membership/gossip.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return reply, err
 	}
-	reply.Membership, err = m.withRecords(reply.Membership)
+	reply.Membership, err = m.dropInvalidRecords(reply.Membership)
 	return reply, err
 }
 
@@ -94,7 +94,7 @@
 	if !kernel.ReadJSON(w, r, &envelope) {
 		return
 	}
-	received, err := m.withRecords(envelope.Membership)
+	received, err := m.dropInvalidRecords(envelope.Membership)
 	if err != nil {
 		result.From(err).WriteHTTP(w)
 		return
--- a/plugin/membership/records.go
+++ b/plugin/membership/records.go
@@ -13,8 +13,8 @@
 // time, without an overflow.
 const maximumOrder = 1 << 62
 
-// isRecord reports whether a process can have written a record.
-func isRecord(member membership.Member) bool {
+// isValidRecord reports whether a process can have written a record.
+func isValidRecord(member membership.Member) bool {
 	return member.ID != "" &&
 		store.IsAddress(member.Control) &&
 		(member.Traffic == "" || store.IsAddress(member.Traffic)) &&
@@ -24,15 +24,15 @@
 		(member.RateLimit == nil || member.RateLimit.Valid())
 }
 
-// withRecords returns a message without the updates that no process can have written. It returns a
+// dropInvalidRecords returns a message without the updates that no process can have written. It returns a
 // result.BadRequest error if that holds for its sender.
-func (m *mesh) withRecords(message membership.Message) (membership.Message, error) {
-	if !isRecord(message.From) {
+func (m *mesh) dropInvalidRecords(message membership.Message) (membership.Message, error) {
+	if !isValidRecord(message.From) {
 		m.logRefused(message.From)
 		return message, result.New(result.BadRequest, "the sender %.40q is no member", message.From.ID)
 	}
 	message.Updates = slices.DeleteFunc(message.Updates, func(member membership.Member) bool {
-		refused := !isRecord(member)
+		refused := !isValidRecord(member)
 		if refused {
 			m.logRefused(member)
 		}
--- a/transport/responsecheck/chunk.go
+++ b/transport/responsecheck/chunk.go
@@ -6,14 +6,19 @@
 	"strconv"
 )
 
+// maximumSizeDigits is the number of digits that Go's reader accepts.
+const maximumSizeDigits = 16
+
 // parseChunkSize parses the line before a chunk without its end (RFC 9112, section 7.1). Extensions
-// are ignored, and blanks behind the size, with which some servers fill it up.
+// are ignored, and so are blanks at the end, with which some servers fill the size up.
 func parseChunkSize(line []byte) (int64, error) {
 	if at := invalidTextByte(line); at >= 0 {
 		return 0, invalid(Chunk, "byte %#02x in the line of its size", line[at])
 	}
-	digits, _, _ := bytes.Cut(line, []byte{';'})
-	digits = bytes.TrimRight(digits, " \t")
+	digits, _, _ := bytes.Cut(bytes.TrimRight(line, " \t"), []byte{';'})
+	if len(digits) > maximumSizeDigits {
+		return 0, invalid(Chunk, "a size of %d digits", len(digits))
+	}
 	for _, b := range digits {
 		if !isHexadecimal(b) {
 			return 0, invalid(Chunk, "no size in %s", quoted(line))
