kernel: ending calls at a stop costs a call no lock that all calls share

Calls with claims were detached from their context, so that a stop did not end them. Change: one context for a call, whose cause tells the deadline, the caller and the stop apart; calls in flight are kept in 16 parts with a lock each. Calls with claims get such a context too. Safe: what asked the context's Err whether a caller had left asks its cause (routing); nobody asks for its deadline.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -15,7 +15,8 @@
 
 // Call is one request that passes through the chain of one process.
 type Call struct {
-	// Context is cancelled when the caller disconnects or the deadline passes.
+	// Context ends when the caller disconnects, the deadline passes or the process stops. Its cause
+	// tells which: context.Canceled, context.DeadlineExceeded or another one.
 	Context context.Context
 	// Service is the name of the called service.
 	Service string
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -119,7 +119,6 @@
 		stopped:   make(chan struct{}),
 	}
 	p.context, p.cancel = context.WithCancel(context.Background())
-	p.stopDeadline = newStopDeadline()
 	p.Policy.Store(policy.NewIndex(nil))
 	p.Members.Store(&[]membership.Member{})
 	p.executions = newExecutionTable(p.ID)
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -1,7 +1,6 @@
 package kernel
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -22,11 +21,11 @@
 	var answer *Answer
 	call, err := build(r)
 	if err == nil {
-		var cancel context.CancelFunc
+		var finish func()
 		p.limitToStop(call)
-		call.Context, cancel = p.stopDeadline.contextOf(r.Context(), call.Deadline)
-		defer cancel()
-		defer watchPeer(r, cancel)()
+		call.Context, finish = p.CallContext(r.Context(), call.Deadline)
+		defer finish()
+		defer watchPeer(r, finish)()
 		if call.Inbound {
 			p.executions.add(call.Execution)
 			defer p.executions.remove(call.Execution)
--- a/kernel/transmit_test.go
+++ b/kernel/transmit_test.go
@@ -209,7 +209,7 @@
 // it, and against ending calls of a process that does not stop.
 func TestCallsEndBeforeProcess(t *testing.T) {
 	is := is.New(t)
-	deadline := newStopDeadline()
+	var deadline stopDeadline
 	long := clock.Now().Add(time.Hour)
 	is.Equal(deadline.limit(long), long)
 	ctx, cancel := deadline.contextOf(t.Context(), long)
--- a/plugin/once/once.go
+++ b/plugin/once/once.go
@@ -112,9 +112,9 @@
 }
 
 // runClaimed passes the call on to the back end. It is not cancelled when the caller
-// disconnects, only at its deadline, so that its outcome can be stored.
+// disconnects, only at its deadline or when the process stops, so that its outcome can be stored.
 func (o *once) runClaimed(next kernel.Handler, call *kernel.Call, current *run, group int) (*kernel.Answer, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(call.Context), call.Deadline.Left())
+	ctx, cancel := o.process.CallContext(context.WithoutCancel(call.Context), call.Deadline)
 	call.Context = ctx
 	answer, err := next.Handle(call)
 	if err != nil {
--- a/plugin/routing/outcome.go
+++ b/plugin/routing/outcome.go
@@ -11,7 +11,7 @@
 // outcomeOf returns how a failed attempt counts for its node. The error is either an own
 // observation, for example a broken connection, or a refusal that the node sent.
 func outcomeOf(call *kernel.Call, err error) balance.Outcome {
-	if call.Context.Err() == context.Canceled {
+	if context.Cause(call.Context) == context.Canceled {
 		return balance.Unknown
 	}
 	typed := result.From(err)
