--- a/kernel/control.go
+++ b/kernel/control.go
@@ -20,7 +20,6 @@
 type ControlClient struct {
 	mutex     sync.Mutex
 	transport *http.Transport
-	bounded   http.RoundTripper // transport with a bound on answers
 	clients   map[string]*kratoshttp.Client
 	counters  *Counters
 }
@@ -43,24 +42,22 @@
 		dial = socket.Dialer{Timeout: controlDialTimeout}.DialContext
 	}
 	dialChecked := checkedconn.Dial(dial)
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialChecked(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return controlConn{Conn: conn, counters: counters}, nil
-		},
-		DisableCompression:  true,
-		MaxIdleConns:        controlIdleConns,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     idle,
-	}
 	return &ControlClient{
-		counters:  counters,
-		clients:   map[string]*kratoshttp.Client{},
-		transport: transport,
-		bounded:   boundedTransport{next: transport},
+		counters: counters,
+		clients:  map[string]*kratoshttp.Client{},
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialChecked(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return controlConn{Conn: conn, counters: counters}, nil
+			},
+			DisableCompression:  true,
+			MaxIdleConns:        controlIdleConns,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     idle,
+		},
 	}
 }
 
@@ -87,7 +84,7 @@
 		return known, nil
 	}
 	created, err := kratoshttp.NewClient(context.Background(),
-		kratoshttp.WithEndpoint(address), kratoshttp.WithTransport(c.bounded), kratoshttp.WithTimeout(0))
+		kratoshttp.WithEndpoint(address), kratoshttp.WithTransport(boundedTransport{next: c.transport}), kratoshttp.WithTimeout(0))
 	if err != nil {
 		return nil, result.Wrap(result.NodeUnreachable, err, "control address %s", address)
 	}
--- a/plugin/membership/gossip.go
+++ b/plugin/membership/gossip.go
@@ -94,13 +94,13 @@
 	if !kernel.ReadJSON(w, r, &envelope) {
 		return
 	}
-	received, err := m.dropInvalidRecords(envelope.Membership)
-	if err != nil {
+	var err error
+	if envelope.Membership, err = m.dropInvalidRecords(envelope.Membership); err != nil {
 		result.From(err).WriteHTTP(w)
 		return
 	}
 	reply, err := kernel.Query(r.Context(), m.process.Loop, func(now time.Time) membership.Message {
-		answer := m.stateMachine.Receive(now, received)
+		answer := m.stateMachine.Receive(now, envelope.Membership)
 		m.publish(now)
 		return answer
 	})
@@ -108,11 +108,11 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	if received.Kind == membership.PingThrough {
-		reply.OK = m.probeFor(received.Target)
+	if envelope.Membership.Kind == membership.PingThrough {
+		reply.OK = m.probeFor(envelope.Membership.Target)
 	}
 	kernel.WriteJSON(w, m.envelope(reply))
-	m.dispatch(received.From.Control, envelope, time.Time{})
+	m.dispatch(envelope.Membership.From.Control, envelope, time.Time{})
 }
 
 // probeFor probes an address on behalf of another process and reports whether it answered.
--- a/plugin/quarantine/attempt.go
+++ b/plugin/quarantine/attempt.go
@@ -79,7 +79,8 @@
 
 // recordFailure records a request that was sent to the back end and got no complete answer, and
 // returns the error for its caller. If the connection broke, or was closed because of an invalid
-// answer, it starts a crash check. A back end that has announced that it leaves is ignored, since it may stop with requests in flight.
+// answer, it starts a crash check. A back end that has announced that it leaves is ignored,
+// since it may stop with requests in flight.
 func (p *plugin) recordFailure(call *kernel.Call, err *result.Error) error {
 	switch err.Code {
 	case result.ConnectionLost, result.AnswerInvalid, result.CallerCancelled, result.DeadlineExceeded:
--- a/transport/exchange/end_test.go
+++ b/transport/exchange/end_test.go
@@ -29,6 +29,13 @@
 // goroutines first learns that the connection was reset.
 const endRounds = 40
 
+// newUpload returns a request whose body is longer than the buffers of a connection hold.
+func newUpload() *http.Request {
+	request := newRequest("POST", "")
+	request.Body, request.ContentLength = io.NopCloser(io.LimitReader(zeros{}, uploadSize)), uploadSize
+	return request
+}
+
 // readUpload reads a part of an upload, as a server does that responds before the end.
 func readUpload(t *testing.T, reader *bufio.Reader, size int) {
 	request, err := http.ReadRequest(reader)
@@ -69,8 +76,7 @@
 				})
 				client := newTestClient()
 				for range endRounds {
-					request := newRequest("POST", "")
-					request.Body, request.ContentLength = io.NopCloser(io.LimitReader(zeros{}, uploadSize)), uploadSize
+					request := newUpload()
 					body, err := read(t, client, server.address, request)
 					if err == nil {
 						t.Fatalf("%d bytes were taken for a complete response", len(body))
@@ -130,8 +136,7 @@
 				n, _ := io.Copy(io.Discard, request.Body)
 				uploaded <- n
 			})
-			request := newRequest("POST", "")
-			request.Body, request.ContentLength = io.NopCloser(io.LimitReader(zeros{}, uploadSize)), uploadSize
+			request := newUpload()
 			body, err := read(t, newTestClient(), server.address, request)
 			is.NoErr(err)
 			is.True(body == sent)
--- a/transport/responsecheck/checker.go
+++ b/transport/responsecheck/checker.go
@@ -177,7 +177,7 @@
 // endHead continues with what follows the head: the content, or another response after an interim
 // one.
 func (c *Checker) endHead() error {
-	kind, length, err := c.framing.content(c.head, c.headRequest)
+	kind, err := c.framing.content(c.head, c.headRequest)
 	if err != nil {
 		return err
 	}
@@ -189,8 +189,8 @@
 		c.state = inChunkSize
 	case kind == contentUntilClose:
 		c.state = inContentUntilClose
-	case kind == fixedContent && length > 0:
-		c.state, c.left = inFixedContent, length
+	case kind == fixedContent && c.framing.length > 0:
+		c.state, c.left = inFixedContent, c.framing.length
 	default:
 		c.state = complete
 	}
--- a/transport/responsecheck/framing.go
+++ b/transport/responsecheck/framing.go
@@ -8,7 +8,8 @@
 
 // framing is what the fields of a head tell about the length of the content.
 type framing struct {
-	length  string // digits, "" if not told
+	digits  string // of the length, "" if not told
+	length  int64
 	chunked bool
 }
 
@@ -36,13 +37,14 @@
 			return invalid(Length, "Content-Length is no number")
 		}
 	}
-	if _, err := strconv.ParseInt(value, 10, 64); err != nil {
+	length, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
 		return invalid(Length, "Content-Length is no number of 63 bits")
 	}
-	if f.length != "" && f.length != value {
-		return invalid(Length, "Content-Length twice, %s and %s", f.length, value)
+	if f.digits != "" && f.digits != value {
+		return invalid(Length, "Content-Length twice, %s and %s", f.digits, value)
 	}
-	f.length = value
+	f.digits, f.length = value, length
 	return nil
 }
 
@@ -67,22 +69,20 @@
 	contentUntilClose
 )
 
-// content returns how the content of a response ends, and its length if that is fixed (RFC 9112,
-// section 6.3).
-func (f *framing) content(head statusLine, headRequest bool) (content, int64, error) {
+// content returns how the content of a response ends (RFC 9112, section 6.3).
+func (f *framing) content(head statusLine, headRequest bool) (content, error) {
 	if err := f.check(head); err != nil {
-		return noContent, 0, err
+		return noContent, err
 	}
 	switch {
 	case headRequest || !allowsContent(head.status):
-		return noContent, 0, nil
+		return noContent, nil
 	case f.chunked:
-		return chunkedContent, 0, nil
-	case f.length == "":
-		return contentUntilClose, 0, nil
+		return chunkedContent, nil
+	case f.digits == "":
+		return contentUntilClose, nil
 	default:
-		length, err := strconv.ParseInt(f.length, 10, 64)
-		return fixedContent, length, err
+		return fixedContent, nil
 	}
 }
 
@@ -90,13 +90,13 @@
 func (f *framing) check(head statusLine) error {
 	withoutLength := head.status < http.StatusOK || head.status == http.StatusNoContent
 	switch {
-	case f.chunked && f.length != "":
+	case f.chunked && f.digits != "":
 		return invalid(Length, "both Transfer-Encoding and Content-Length")
 	case f.chunked && head.minorVersion == 0:
 		return invalid(Length, "Transfer-Encoding in HTTP/1.0")
 	case f.chunked && withoutLength:
 		return invalid(Length, "Transfer-Encoding with status %d", head.status)
-	case f.length != "" && f.length != "0" && withoutLength:
+	case f.digits != "" && f.digits != "0" && withoutLength:
 		return invalid(Length, "content with status %d", head.status)
 	default:
 		return nil
