Review: an acknowledged leaving is forgotten when all processes are killed (case 5)

A back end leaves by DELETE, which its node acknowledges. A second later all processes are killed and start again. A heartbeat from before the DELETE, which arrives late, makes the node send requests to the leaving back end again.

review/build-2.sh && review/5/run.sh

--- a/review/harness2/bench.go
+++ b/review/harness2/bench.go
@@ -273,6 +273,22 @@
 	return nil
 }
 
+// killAll kills all processes of the system at once and starts them again after a delay.
+func (b *bench) killAll(restartAfter time.Duration) error {
+	var killed sync.WaitGroup
+	for _, n := range b.nodes {
+		killed.Go(func() { n.signal(syscall.SIGKILL) })
+	}
+	killed.Wait()
+	time.Sleep(restartAfter)
+	for _, n := range b.nodes {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stop ends all processes that the bench started.
 func (b *bench) stop() {
 	b.mutex.Lock()
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -26,7 +26,8 @@
 type scenario func(b *bench, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"smuggle": smuggle,
+	"smuggle":      smuggle,
+	"acknowledged": acknowledged,
 }
 
 // maximumRun bounds a run.
