--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -28,6 +28,7 @@
 var scenarios = map[string]scenario{
 	"smuggle":      smuggle,
 	"acknowledged": acknowledged,
+	"innocent":     innocent,
 }
 
 // maximumRun bounds a run.
