Review: a leaving back end gets requests after its process was killed (case 7)

A process that was started again, and learns from an answer that its back end leaves, lets it have requests for a second more, also those of machines that say that it has been leaving for longer.

The late heartbeat has to arrive within about 200 ms of the restart.

--- a/review/harness2/acknowledged.go
+++ b/review/harness2/acknowledged.go
@@ -55,7 +55,7 @@
 	})
 	defer stop()
 	time.Sleep(5 * time.Second)
-	leaver.hold() // the next heartbeat is held up on its way
+	leaver.hold() // heartbeats come late from now on
 	time.Sleep(beatInterval + 200*time.Millisecond)
 	acknowledgedAt, err := leaver.leaveByDelete()
 	if err != nil {
@@ -84,7 +84,7 @@
 	return late > 0, nil
 }
 
-// hold makes the next heartbeat the last one, and holds it back.
+// hold holds heartbeats back from now on.
 func (a *backend) hold() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -107,13 +107,16 @@
 	return time.Now(), nil
 }
 
-// releaseHeld delivers the heartbeats that were held back.
+// releaseHeld delivers the heartbeats that were held back: the first one now, the others as much later as they
+// were sent later.
 func (a *backend) releaseHeld() {
 	a.mutex.Lock()
 	held := a.held
 	a.held = nil
 	a.mutex.Unlock()
 	for _, late := range held {
-		a.node.bench.rec.printf("a heartbeat of %s (ready) arrives late: %d", late.id, a.put(late))
+		time.AfterFunc(late.sentAt.Sub(held[0].sentAt), func() {
+			a.node.bench.rec.printf("a heartbeat of %s (%s) arrives %.1f s late: %d", late.id, late.state, time.Since(late.sentAt).Seconds(), a.put(late))
+		})
 	}
 }
--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -29,14 +29,17 @@
 	server   *http.Server
 	quiet    bool // sends no heartbeats
 	leaving  bool
-	holdFrom int // heartbeats with this sequence or a later one are held back; 0: none
+	draining bool // its heartbeats say so
+	holdFrom int  // heartbeats with this sequence or a later one are held back; 0: none
 	held     []beat
 }
 
 // beat is a heartbeat.
 type beat struct {
-	id   string
-	body []byte
+	id     string
+	body   []byte
+	state  string
+	sentAt time.Time
 }
 
 // addBackend adds the back end of a machine.
@@ -56,7 +59,7 @@
 	}
 	a.starts++
 	a.id = fmt.Sprintf("i-%s-%d", a.node.name, a.starts)
-	a.born, a.sequence, a.quiet, a.leaving = time.Now().UnixMilli(), 0, false, false
+	a.born, a.sequence, a.quiet, a.leaving, a.draining = time.Now().UnixMilli(), 0, false, false, false
 	id := a.id
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, id) })}
 	a.server = server
@@ -102,16 +105,20 @@
 		return
 	}
 	a.sequence++
+	state := "ready"
+	if a.draining {
+		state = "draining"
+	}
 	body, _ := json.Marshal(map[string]any{
 		"born": a.born, "address": a.node.address(portApp),
 		"info":   map[string]any{"service": a.node.service, "version": "v1", "zone": a.node.zone, "slots": a.slots},
-		"status": map[string]any{"state": "ready", "seq": a.sequence, "cold_remaining": "0ms"},
+		"status": map[string]any{"state": state, "seq": a.sequence, "cold_remaining": "0ms"},
 	})
-	built := beat{id: a.id, body: body}
+	built := beat{id: a.id, body: body, state: state, sentAt: time.Now()}
 	hold := a.holdFrom > 0 && a.sequence >= a.holdFrom
 	if hold {
 		a.held = append(a.held, built)
-		a.node.bench.rec.printf("%s sends heartbeat %d (ready); it is held up on its way", a.id, a.sequence)
+		a.node.bench.rec.printf("%s sends heartbeat %d (%s); it is held up on its way", a.id, a.sequence, state)
 	}
 	a.mutex.Unlock()
 	if !hold {
@@ -173,6 +180,14 @@
 	a.answer(w, request, body)
 }
 
+// beginLeaving makes the back end say in its answers and its heartbeats that it leaves.
+func (a *backend) beginLeaving() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.leaving, a.draining = true, true
+	a.node.bench.rec.printf("%s leaves: its answers say Server-Leaving, its heartbeats draining", a.id)
+}
+
 // answer writes the usual answer.
 func (a *backend) answer(w http.ResponseWriter, request string, body []byte) {
 	a.mutex.Lock()
--- a/review/harness2/bench.go
+++ b/review/harness2/bench.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -213,26 +212,6 @@
 	}
 }
 
-// logged reports whether the log of the machine has a line with both texts.
-func (n *node) logged(texts ...string) bool {
-	file, err := os.Open(filepath.Join(n.bench.folder, n.name+".log"))
-	if err != nil {
-		return false
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		all := true
-		for _, text := range texts {
-			all = all && strings.Contains(lines.Text(), text)
-		}
-		if all {
-			return true
-		}
-	}
-	return false
-}
-
 // ready asks the readiness of the machine.
 func (n *node) ready() bool {
 	client := http.Client{Timeout: time.Second}
@@ -244,6 +223,18 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// awaitControl waits until the machine takes heartbeats.
+func (n *node) awaitControl() error {
+	for range 5000 {
+		conn, err := net.Dial("tcp", n.address(portControl))
+		if err == nil {
+			return conn.Close()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return fmt.Errorf("%s takes no heartbeats", n.name)
+}
+
 // startAll starts all machines with their back ends and waits until they are ready.
 func (b *bench) startAll() error {
 	for _, app := range b.backends {
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -37,11 +37,19 @@
 	id     string
 	status int // 0: no answer
 	served bool
+	// The answer says that the back end is leaving.
+	leaving bool
 }
 
 // send sends a request and reads the whole answer.
 func (c *client) send(method, path, body string, timeout time.Duration) outcome {
+	return c.sendNoted(method, path, body, timeout, func(string) {})
+}
+
+// sendNoted is send with a function that gets the id of the request before it is sent.
+func (c *client) sendNoted(method, path, body string, timeout time.Duration, note func(id string)) outcome {
 	id := fmt.Sprintf("%s%d", c.name, c.sent.Add(1))
+	note(id)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.at.address(portOutbound)+path, strings.NewReader(body))
@@ -58,7 +66,7 @@
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
 	served := err == nil && response.StatusCode < 300 && response.Header.Get("X-Response-Seal") == sealOf(id)
-	return outcome{id: id, status: response.StatusCode, served: served}
+	return outcome{id: id, status: response.StatusCode, served: served, leaving: response.Header.Get("Server-Leaving") == "1"}
 }
 
 // load sends requests at a rate until stop is called, which waits for the last ones.
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -29,6 +29,7 @@
 	"smuggle":      smuggle,
 	"acknowledged": acknowledged,
 	"innocent":     innocent,
+	"recalled":     recalled,
 }
 
 // maximumRun bounds a run.
