Review: requests behind an answer that breaks off lose theirs (case 5)

A faulty back end breaks off answers of 100 kB; the requests behind them on the connection, which a sound back end has answered, get nothing.

review/build-2.sh && review/5/run.sh

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -30,6 +30,7 @@
 	"acknowledged": acknowledged,
 	"innocent":     innocent,
 	"recalled":     recalled,
+	"behind":       behind,
 }
 
 // maximumRun bounds a run.
