--- a/review/harness2/backend.go
+++ b/review/harness2/backend.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/review/harness"
 )
 
 // backend is a stand-in of the application back end beside a node, written from the users' pages.
@@ -134,7 +136,7 @@
 // tell sends a message to the node and returns the status of its answer, 0 for none within a second.
 func (a *backend) tell(method, id string, body []byte) int {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	request, err := http.NewRequest(method, "http://"+a.node.address(portControl)+"/-/instances/"+id, bytes.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+a.node.address(portControl)+harness.Protocol.InstancesPath+id, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -150,15 +152,15 @@
 
 // serve runs a request at an incarnation.
 func (a *backend) serve(w http.ResponseWriter, r *http.Request, id string) {
-	request := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", request)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
-		w.Header().Set("X-Instance-Id", id)
+	request := r.Header.Get(harness.Protocol.RequestID)
+	w.Header().Set(harness.Protocol.RequestID, request)
+	if expected := r.Header.Get(harness.Protocol.Expect); expected != "" && expected != id {
+		w.Header().Set(harness.Protocol.Instance, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if request == "" {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(harness.Protocol.NotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -185,7 +187,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.leaving, a.draining = true, true
-	a.node.bench.rec.printf("%s leaves: its answers say Server-Leaving, its heartbeats draining", a.id)
+	a.node.bench.rec.printf("%s leaves: its answers and its heartbeats say so", a.id)
 }
 
 // answer writes the usual answer.
@@ -194,9 +196,9 @@
 	leaving := a.leaving
 	a.mutex.Unlock()
 	if leaving {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(names.Leaving, "1")
 	}
-	w.Header().Set("X-Response-Seal", sealOf(request))
+	w.Header().Set(harness.Protocol.Seal, sealOf(request))
 	_, _ = fmt.Fprintf(w, "%s did %s with %d bytes", a.id, request, len(body))
 }
 
--- a/review/harness2/behind.go
+++ b/review/harness2/behind.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/review/harness"
 )
 
 // Doses of the case "behind": a back end of two breaks off one in twenty of its answers.
@@ -43,7 +45,7 @@
 	answers, broken := 0, 0
 	faulty, sound := b.backends[0], b.backends[1]
 	answerLarge := func(app *backend, w http.ResponseWriter, r *http.Request) bool {
-		id := r.Header.Get("X-Attempt-Id")
+		id := r.Header.Get(harness.Protocol.RequestID)
 		mutex.Lock()
 		if app == sound {
 			ranSound[id] = false
@@ -56,7 +58,7 @@
 		}
 		mutex.Unlock()
 		time.Sleep(behindWork)
-		w.Header().Set("X-Response-Seal", sealOf(id))
+		w.Header().Set(harness.Protocol.Seal, sealOf(id))
 		w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
 		text := strings.Repeat("h", largeAnswer)
 		if breaks {
@@ -130,7 +132,7 @@
 	for i := range sentTogether {
 		id := fmt.Sprintf("%s%d", prefix, i)
 		ids = append(ids, id)
-		fmt.Fprintf(&text, "GET /history/%s HTTP/1.1\r\nHost: register.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\n\r\n", id, id, behindDeadline.Milliseconds())
+		text.WriteString(requestHead(http.MethodGet, "/history/"+id, "register.example", id, behindDeadline, ""))
 	}
 	if _, err := io.WriteString(conn, text.String()); err != nil {
 		return ids
--- a/review/harness2/bench.go
+++ b/review/harness2/bench.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"github.com/loomcleat/loomcleat/internal/standin/metastore"
+	"github.com/loomcleat/loomcleat/review/harness"
 )
 
 // Bounds of the deployment, as in the settings of the sites.
@@ -35,7 +36,6 @@
 	portControl  = 8306
 	portInternal = 7620
 	portAdmin    = 9464
-	portStore    = 8309
 )
 
 // bench is a small deployment.
@@ -43,8 +43,7 @@
 	rec     *record
 	folder  string
 	prefix  string // of the loopback addresses, 127.A.B.
-	store   *metastore.Server
-	server  *http.Server
+	store   *harness.Store
 	command []string
 
 	mutex    sync.Mutex
@@ -76,18 +75,16 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{rec: rec, folder: folder, command: command, store: metastore.NewServer()}
 	for range 20 {
-		b.prefix = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s250:%d", b.prefix, portStore))
+		prefix := fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s1:%d", prefix, portInbound))
 		if err != nil {
 			continue
 		}
-		b.server = &http.Server{Handler: b.store.Handler()}
-		go func() { _ = b.server.Serve(listener) }()
-		return b, nil
+		_ = listener.Close()
+		return &bench{rec: rec, folder: folder, command: command, prefix: prefix, store: harness.NewStore()}, nil
 	}
-	return nil, fmt.Errorf("no free loopback address for the store")
+	return nil, fmt.Errorf("no free loopback addresses")
 }
 
 // deployCommand returns the words of the command that starts a process, from the deploy file.
@@ -106,8 +103,10 @@
 
 // configure writes the operator's configuration.
 func (b *bench) configure(text string) {
-	b.rec.printf("operator writes op/config: %s", text)
-	b.store.PutConfiguration([]byte(text))
+	b.rec.printf("the operator writes the configuration: %s", text)
+	if err := b.store.Configure(json.RawMessage(text)); err != nil {
+		b.rec.printf("the configuration is not written: %v", err)
+	}
 }
 
 // addNode adds a machine whose process is not running yet.
@@ -143,7 +142,7 @@
 		"node": n.name, "region": "north", "zone": n.zone, "service": n.service, "ip": n.ip,
 		"app_addr": n.address(portApp), "listen.inbound": n.address(portInbound), "listen.outbound": n.address(portOutbound),
 		"listen.ready": n.address(portReady), "listen.control": n.address(portControl),
-		"internal_ports.0": fmt.Sprint(portInternal), "platform.address": fmt.Sprintf("%s250:%d", n.bench.prefix, portStore),
+		"internal_ports.0": fmt.Sprint(portInternal), "platform.address": n.bench.store.Address(),
 		"bounds.drain": drainBound.String(), "bounds.config": configBound.String(), "bounds.grace": graceBound.String(),
 		"bounds.retry_budget_ratio": "0.2", "bounds.retry_slack": "60", "bounds.budget_window": "10s",
 	}
@@ -215,7 +214,7 @@
 // ready asks the readiness of the machine.
 func (n *node) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + n.address(portReady) + "/-/readiness")
+	response, err := client.Get("http://" + n.address(portReady) + harness.Protocol.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -299,7 +298,7 @@
 		}
 		n.mutex.Unlock()
 	}
-	_ = b.server.Close()
+	b.store.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(b.folder)
 	}
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/loomcleat/loomcleat/review/harness"
 )
 
 // client sends requests at one machine and keeps its connections.
@@ -57,16 +59,16 @@
 		return outcome{id: id}
 	}
 	request.Host = c.host
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Remaining", fmt.Sprint(timeout.Milliseconds()))
+	request.Header.Set(harness.Protocol.RequestID, id)
+	request.Header.Set(harness.Protocol.Remaining, fmt.Sprint(timeout.Milliseconds()))
 	response, err := c.http.Do(request)
 	if err != nil {
 		return outcome{id: id}
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	served := err == nil && response.StatusCode < 300 && response.Header.Get("X-Response-Seal") == sealOf(id)
-	return outcome{id: id, status: response.StatusCode, served: served, leaving: response.Header.Get("Server-Leaving") == "1"}
+	served := err == nil && response.StatusCode < 300 && response.Header.Get(harness.Protocol.Seal) == sealOf(id)
+	return outcome{id: id, status: response.StatusCode, served: served, leaving: response.Header.Get(names.Leaving) == "1"}
 }
 
 // load sends requests at a rate until stop is called, which waits for the last ones.
--- a/review/harness2/innocent.go
+++ b/review/harness2/innocent.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/review/harness"
 )
 
 // Times and rates of the case "innocent".
@@ -139,7 +141,7 @@
 	if !running {
 		return true
 	}
-	app.node.bench.rec.printf("%s begins to run %s and crashes", id, r.Header.Get("X-Attempt-Id"))
+	app.node.bench.rec.printf("%s begins to run %s and crashes", id, r.Header.Get(harness.Protocol.RequestID))
 	app.end()
 	time.AfterFunc(crashedFor, func() {
 		if err := app.start(); err != nil {
--- a/review/harness2/recalled.go
+++ b/review/harness2/recalled.go
@@ -32,7 +32,7 @@
 	leaver, beside := b.backends[0], b.nodes[0]
 	var mutex sync.Mutex
 	sentAt := map[string]time.Time{}
-	var passedOn time.Time // when the knowing machine passed on the first answer with Server-Leaving
+	var passedOn time.Time // when the knowing machine passed on the first answer that says so
 	late := 0
 	leaver.started = func(app *backend, id string, _ *http.Request) {
 		mutex.Lock()
@@ -60,7 +60,7 @@
 		mutex.Lock()
 		if got.leaving && passedOn.IsZero() {
 			passedOn = time.Now()
-			b.rec.printf("%s has passed on an answer with Server-Leaving", b.nodes[1].name)
+			b.rec.printf("%s has passed on an answer that says so", b.nodes[1].name)
 		}
 		mutex.Unlock()
 		b.rec.printf("client: %s gets %d, leaving %t", got.id, got.status, got.leaving)
@@ -93,7 +93,7 @@
 	defer mutex.Unlock()
 	b.rec.printf("requests that reached the leaving back end from the machine, sent more than %s after it had passed on such an answer: %d", drainBound, late)
 	if passedOn.IsZero() {
-		return false, fmt.Errorf("no answer with Server-Leaving was passed on")
+		return false, fmt.Errorf("no answer that says so was passed on")
 	}
 	return late > 0, nil
 }
--- a/review/harness2/smuggle.go
+++ b/review/harness2/smuggle.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/review/harness"
 )
 
 // Doses of the case "smuggle": a back end of two rejects one in twenty of its long requests early.
@@ -113,11 +115,11 @@
 
 // rejectEarly answers a long request before it has read it, keeps the connection, and reads the rest later.
 func rejectEarly(app *backend, w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(harness.Protocol.RequestID)
 	app.node.bench.rec.printf("%s rejects %s early, with 413", app.id, id)
 	controller := http.NewResponseController(w)
 	_ = controller.EnableFullDuplex()
-	w.Header().Set("X-Response-Seal", sealOf(id))
+	w.Header().Set(harness.Protocol.Seal, sealOf(id))
 	w.Header().Set("Content-Length", "8")
 	w.WriteHeader(http.StatusRequestEntityTooLarge)
 	_, _ = io.WriteString(w, "too long")
@@ -132,7 +134,7 @@
 	if number%2 == 1 {
 		return strings.Repeat("5ca1ab1e", uploadBytes/8)
 	}
-	inner := fmt.Sprintf("POST /keep/inner-%d HTTP/1.1\r\nHost: register.example\r\nX-Attempt-Id: inner%d\r\nX-Deadline-Remaining: 5000\r\nContent-Length: 0\r\n\r\n", number, number)
+	inner := requestHead(http.MethodPost, fmt.Sprintf("/keep/inner-%d", number), "register.example", fmt.Sprintf("inner%d", number), 5*time.Second, "Content-Length: 0\r\n")
 	return strings.Repeat("x", uploadBytes-len(inner)) + inner
 }
 
@@ -155,8 +157,7 @@
 		sent.add(id)
 		written := make(chan error, 1)
 		go func(conn net.Conn) {
-			head := fmt.Sprintf("POST /keep/%d HTTP/1.1\r\nHost: register.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: %d\r\n\r\n",
-				number, id, uploadDeadline.Milliseconds(), uploadBytes)
+			head := requestHead(http.MethodPost, fmt.Sprintf("/keep/%d", number), "register.example", id, uploadDeadline, fmt.Sprintf("Content-Length: %d\r\n", uploadBytes))
 			written <- sendInPieces(conn, head+uploadBody(number))
 		}(conn)
 		_ = conn.SetReadDeadline(time.Now().Add(uploadDeadline))
@@ -197,12 +198,12 @@
 		return false, true
 	}
 	text, err := io.ReadAll(response.Body)
-	answered := response.Header.Get("X-Attempt-Id")
-	own = answered == id || (answered == "" && response.Header.Get("X-Response-Seal") == "" && response.StatusCode >= http.StatusInternalServerError)
+	answered := response.Header.Get(harness.Protocol.RequestID)
+	own = answered == id || (answered == "" && response.Header.Get(harness.Protocol.Seal) == "" && response.StatusCode >= http.StatusInternalServerError)
 	note := ""
 	if !own {
 		note = " NOT ITS OWN"
 	}
-	b.rec.printf("client: %s gets %d%s (id %q, seal %q, close %t): %.80q", id, response.StatusCode, note, answered, response.Header.Get("X-Response-Seal"), response.Close, text)
+	b.rec.printf("client: %s gets %d%s (id %q, seal %q, close %t): %.80q", id, response.StatusCode, note, answered, response.Header.Get(harness.Protocol.Seal), response.Close, text)
 	return err == nil && !response.Close, own
 }
