kernel: the rest of a body whose answer came early is not served as a request

Cause: Go's server decides by its own type of body whether one was left unread. That type was replaced, so that it read the next request from the middle of the body once 256 KB or 100 ms of it had been discarded.

Change: upload decides before the head is written whether the connection can be used again; if not, the answer says so, the server gets no more bytes, and the connection closes in stages (transport/lingering), so that a client that still writes gets its answer whole. All listeners for requests have it: callers, back ends, other processes.

--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -40,6 +40,16 @@
 // startRawMesh starts a node beside a raw back end of the service deep, and an entry to it, which is
 // the node of another service.
 func startRawMesh(t *testing.T, serve rawBackEnd) (entry, deep *platformNode) {
+	t.Helper()
+	return startNodesBeside(t, func(conn *net.TCPConn, request *http.Request) bool {
+		serve(conn, request, "X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nConnection: close\r\n")
+		return false
+	})
+}
+
+// startNodesBeside starts a node beside a back end of the service deep, and an entry to it, which is the node
+// of another service.
+func startNodesBeside(t *testing.T, answer rawserver.Answer) (entry, deep *platformNode) {
 	t.Helper()
 	stub := metastore.NewServer()
 	store := httptest.NewServer(stub.Handler())
@@ -47,7 +57,7 @@
 	stub.Put("op/config", platformConfiguration(3, "front"))
 	deep = newPlatformNode(t, "deep")
 	deep.slots = 64
-	deep.startWithBackEnd(t, store.URL, startRawBackEnd(t, serve))
+	deep.startWithBackEnd(t, store.URL, rawserver.Start(t, answer))
 	entry = startPlatformNode(t, store.URL, "front")
 	entry.awaitReady(t)
 	deep.awaitReady(t)
--- a/kernel/caller.go
+++ b/kernel/caller.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/loomcleat/loomcleat/transport/lingering"
 )
 
 // starter starts to serve a request before its turn. It returns nil when the request
@@ -16,13 +19,13 @@
 
 // callerListener accepts the connections of callers as callerConns.
 type callerListener struct {
-	net.Listener
+	lingering.Listener
 	start starter // nil when each request waits for its turn
 }
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.Listener.AcceptConn()
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +45,7 @@
 // after the current request then ends the server's detection of the close, and
 // callerConn polls the connection instead.
 type callerConn struct {
-	net.Conn
+	*lingering.Conn
 	start   starter
 	context context.Context // cancelled when the connection closes
 	cancel  context.CancelFunc
@@ -75,6 +78,9 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(data []byte) (int, error) {
+	if c.ReadingEnded() {
+		return 0, io.EOF // also for the bytes that are pending
+	}
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
--- a/kernel/peer.go
+++ b/kernel/peer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
+	"github.com/loomcleat/loomcleat/transport/lingering"
 	"github.com/loomcleat/loomcleat/transport/socket"
 )
 
@@ -24,15 +26,44 @@
 	if r.ProtoAtLeast(1, 1) {
 		return
 	}
-	conn, _ := r.Context().Value(connectionKey{}).(net.Conn)
-	if caller, ok := conn.(*callerConn); ok {
-		conn = caller.Conn
+	if conn := lingeringConnOf(r); conn != nil {
+		conn.ResetOnClose()
 	}
-	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = socket.SetLinger(0) // fails if the connection is closed already
+}
+
+// lingeringConnOf returns the connection of a request under those of package kernel, nil when there is none.
+func lingeringConnOf(r *http.Request) *lingering.Conn {
+	switch conn := r.Context().Value(connectionKey{}).(type) {
+	case *callerConn:
+		return conn.Conn
+	case *lingering.Conn:
+		return conn
+	default:
+		return nil
 	}
 }
 
+// endReading makes the connection of a request give no more bytes to the server, and close in stages.
+func endReading(r *http.Request) {
+	if conn := lingeringConnOf(r); conn != nil {
+		conn.EndReading()
+	}
+}
+
+// maximumLingering bounds the time from the last answer on a connection until it is closed, while the
+// caller still writes.
+const maximumLingering = 30 * time.Second
+
+// closeInBackground runs the close of a connection. It counts as a call in flight, which ends with the
+// last calls of a stopping process.
+func (p *Process) closeInBackground(run func(context.Context)) {
+	p.Go(func() {
+		ctx, finish := p.CallContext(p.context, clock.Now().Add(maximumLingering))
+		defer finish()
+		run(ctx)
+	})
+}
+
 // peerPollInterval is the time between two checks whether a caller is still connected.
 const peerPollInterval = 200 * time.Millisecond
 
@@ -64,7 +95,7 @@
 	if c.onClose == nil {
 		return
 	}
-	if socket.PeerClosed(c.Conn) {
+	if socket.PeerClosed(c.Conn.Conn) {
 		c.onClose()
 		return
 	}
--- a/kernel/peer_test.go
+++ b/kernel/peer_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/transport/lingering"
 )
 
 // TestCallerCloseIsDetected guards against requests that keep running after their caller
@@ -35,7 +37,7 @@
 				close(detected)
 			}))
 			server.Config.ConnContext = withConnection
-			server.Listener = callerListener{Listener: server.Listener}
+			server.Listener = callerListener{Listener: lingering.Listener{Listener: server.Listener}}
 			server.Start()
 			defer server.Close()
 			conn, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/kernel/pipelined_test.go
+++ b/kernel/pipelined_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/loomcleat/loomcleat/transport/lingering"
 )
 
 // pipelineServer is a server that serves pipelined requests concurrently.
@@ -40,7 +42,7 @@
 		recorded(w, r)
 	}))
 	s.Config.ConnContext = withConnection
-	s.Listener = callerListener{Listener: s.Listener, start: func(ctx context.Context, r *http.Request) *pipelined {
+	s.Listener = callerListener{Listener: lingering.Listener{Listener: s.Listener}, start: func(ctx context.Context, r *http.Request) *pipelined {
 		ctx, cancel := context.WithCancel(ctx)
 		started := newPipelined(r.WithContext(ctx), cancel)
 		go started.run(http.HandlerFunc(recorded))
--- a/kernel/servers.go
+++ b/kernel/servers.go
@@ -10,6 +10,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/loomcleat/loomcleat/result"
+	"github.com/loomcleat/loomcleat/transport/lingering"
 )
 
 // servers are the kratos HTTP servers of a process. A filter answers each request before
@@ -29,9 +30,9 @@
 	s := servers{controlRoutes: http.NewServeMux()}
 	if p.listeners.traffic != nil {
 		if p.IsNode() {
-			s.add(p.listeners.traffic, http.HandlerFunc(p.serveInbound))
+			s.add(p.lingeringListener(p.listeners.traffic), http.HandlerFunc(p.serveInbound))
 		} else {
-			s.add(callerListener{Listener: p.listeners.traffic}, http.HandlerFunc(p.serveGateway))
+			s.add(callerListener{Listener: p.lingeringListener(p.listeners.traffic)}, http.HandlerFunc(p.serveGateway))
 		}
 	}
 	if p.listeners.outbound != nil {
@@ -50,10 +51,16 @@
 // outboundListener wraps the listener for outbound calls. At an entry its connections serve
 // pipelined requests concurrently.
 func (p *Process) outboundListener(listener net.Listener) net.Listener {
-	if !p.Settings.Entry {
-		return callerListener{Listener: listener}
+	accepting := callerListener{Listener: p.lingeringListener(listener)}
+	if p.Settings.Entry {
+		accepting.start = p.startEarly
 	}
-	return callerListener{Listener: listener, start: p.startEarly}
+	return accepting
+}
+
+// lingeringListener wraps a listener for requests, whose connections close in stages.
+func (p *Process) lingeringListener(listener net.Listener) lingering.Listener {
+	return lingering.Listener{Listener: listener, Background: p.closeInBackground}
 }
 
 func (s *servers) add(listener net.Listener, handler http.Handler) {
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -15,9 +15,8 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	defer p.recoverPanic(r)
-	if isStreamed(r) {
-		defer streamBothWays(w, r)()
-	}
+	upload := newUpload(w, r)
+	defer upload.finish()
 	var answer *Answer
 	call, err := build(r)
 	if err == nil {
@@ -35,6 +34,7 @@
 	}
 	defer func() { p.Counters.observe(direction, err, time.Since(started)) }()
 	err = p.prepareHead(w.Header(), r, call, answer, err)
+	upload.prepareHead(w.Header(), err != nil)
 	if err != nil {
 		p.logFailure(r, call, direction, err, time.Since(started))
 		p.withRetryAfter(call, err).WriteHTTP(w)
