instance: the earliest time counts at which a leaving back end closes

Cause: State.WithLeaving kept the first time of closing that it was told. An answer to a caller that knew nothing set one a second ahead, after which the word of callers that had known it for long had no effect.

Change: the earliest time counts, whichever way and order it becomes known. Callers tell for how long they have known it, so that one that has just learned it does not end the time in which others are still served. A caller's word about a back end whose heartbeats have not arrived is kept, and a report of the limit alone does not undo leaving.

--- a/e2e/declaration_test.go
+++ b/e2e/declaration_test.go
@@ -270,3 +270,26 @@
 	entry.getUntilServed(t, "/front/x", "")
 	return entry
 }
+
+// TestRestartedNodeClosesAtOnceForKnowingCaller guards against a node that was started again, first hears from
+// its back end that it leaves in the answer to a caller that did not know it, and then passes on requests of one
+// that has known it for longer than the drain time.
+func TestRestartedNodeClosesAtOnceForKnowingCaller(t *testing.T) {
+	is := is.New(t)
+	backEnds := startDeclaringBackEnds(t, 1)
+	node, knowing := backEnds[0].node, startEntry(t, backEnds[0])
+	unknowing := startEntry(t, backEnds[0])
+	backEnds[0].leaving.Store(true)
+	is.Equal(knowing.get("/front/x", "").status, http.StatusOK)
+	time.Sleep(drainTime)
+	node.kill()
+	node.restart()
+	eventually(t, "readiness", func() bool { return node.probeReadiness() == http.StatusOK })
+	is.Equal(node.sendHeartbeat("ready"), http.StatusOK) // late
+	unknowing.get("/front/x", "")                        // served, unless gossip was faster
+	before := node.runs.Load()
+	for range 10 {
+		is.Equal(knowing.get("/front/x", "").status, http.StatusServiceUnavailable)
+	}
+	is.Equal(node.runs.Load(), before)
+}
--- a/instance/declared.go
+++ b/instance/declared.go
@@ -16,6 +16,9 @@
 	Limit *ratelimit.Rate
 	// Leaving reports that it is about to stop.
 	Leaving bool
+	// LeavingFor is how long the process that tells it has known that it is leaving, nil if that is
+	// not told.
+	LeavingFor *time.Duration
 }
 
 // Restricted reports whether the back end has a limit or is leaving.
@@ -33,6 +36,20 @@
 type memoryEntry struct {
 	Declared
 	reportedAt time.Time
+	// When leaving was first reported, zero if it was not.
+	leavingSince time.Time
+}
+
+// after returns the entry that follows an earlier one of the same node. An incarnation that is leaving
+// stays so.
+func (e memoryEntry) after(earlier memoryEntry) memoryEntry {
+	switch {
+	case earlier.Leaving && earlier.Incarnation == e.Incarnation:
+		e.Leaving, e.leavingSince = true, earlier.leavingSince
+	case e.Leaving:
+		e.leavingSince = e.reportedAt
+	}
+	return e
 }
 
 // maximumEntries bounds the nodes that a Memory holds. It exceeds the number of nodes of the
@@ -49,7 +66,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if declared.Restricted() {
-		m.store(address, memoryEntry{Declared: declared, reportedAt: now})
+		m.store(address, memoryEntry{Declared: declared, reportedAt: now}.after(m.entries[address]))
 		return
 	}
 	if known, exists := m.entries[address]; exists && sentAt.After(known.reportedAt) {
@@ -58,7 +75,9 @@
 }
 
 func (m *Memory) has(address string) bool {
-	_, exists := m.Lookup(address)
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	_, exists := m.entries[address]
 	return exists
 }
 
@@ -69,10 +88,17 @@
 	m.entries[address] = stored
 }
 
-// Lookup returns the restriction that the node at an address has reported.
-func (m *Memory) Lookup(address string) (Declared, bool) {
+// Lookup returns the restriction that the node at an address has reported, with the time that has passed
+// since.
+func (m *Memory) Lookup(now time.Time, address string) (Declared, bool) {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
 	known, exists := m.entries[address]
-	return known.Declared, exists
+	declared := known.Declared
+	declared.LeavingFor = nil
+	if declared.Leaving {
+		leavingFor := max(now.Sub(known.leavingSince), 0)
+		declared.LeavingFor = &leavingFor
+	}
+	return declared, exists
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,6 +13,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -71,6 +72,20 @@
 	return s.ID + "@" + strconv.FormatInt(s.Born, 10)
 }
 
+// ParseIncarnation returns the id and the time of start in the name of an incarnation, as of
+// State.Incarnation.
+func ParseIncarnation(name string) (id string, born int64) {
+	at := strings.LastIndexByte(name, '@')
+	if at < 0 {
+		return name, 0
+	}
+	born, err := strconv.ParseInt(name[at+1:], 10, 64)
+	if err != nil {
+		return name, 0 // the sign is a part of the id
+	}
+	return name[:at], born
+}
+
 // Open reports whether requests may be sent to the back end.
 func (s State) Open(now time.Time) bool {
 	if s.ID == "" {
@@ -80,10 +95,10 @@
 }
 
 // WithLeaving returns the state with an incarnation leaving, which takes no more requests from
-// closesAt on. It returns the state unchanged if another incarnation is running, or if this one is
-// leaving already.
+// closesAt on. Of several times the earliest counts, in whichever order they become known. The state is
+// unchanged if another incarnation is running.
 func (s State) WithLeaving(incarnation string, closesAt time.Time) State {
-	if s.Leaving || s.Incarnation() != incarnation {
+	if s.Incarnation() != incarnation || s.Leaving && !closesAt.Before(s.ClosesAt) {
 		return s
 	}
 	s.Leaving, s.ClosesAt = true, closesAt
--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -181,10 +181,14 @@
 
 // RecallLeft processes the information that a start had announced its stop to the process that ran
 // here before. It is not known when that was, so that no time is left for requests. It reports
-// whether that was not known.
+// whether that changes anything.
 func (t *Tracker) RecallLeft(now time.Time, id string, born int64) bool {
-	current := t.state.Leaving && t.state.ID == id && t.state.Born == born
-	if current || t.former.hasLeft(id, born) {
+	if t.state.ID == id && (born == 0 || t.state.Born == born) {
+		wasOpen := t.state.Open(now)
+		t.leave(now)
+		return wasOpen
+	}
+	if t.former.hasLeft(id, born) {
 		return false
 	}
 	return t.leaveStart(now, now, id, born) == nil
@@ -225,7 +229,7 @@
 func (t *Tracker) ObserveLeavingAnswer(answer LeavingAnswer) { t.leavingAnswer = answer }
 
 // ObserveLeaving processes the information that an incarnation is leaving and takes no more requests from
-// closesAt on. It reports whether that was not known.
+// closesAt on, or from an earlier time that is known. It reports whether it was not known to be leaving.
 func (t *Tracker) ObserveLeaving(incarnation string, closesAt time.Time) bool {
 	before := t.state
 	t.state = before.WithLeaving(incarnation, closesAt)
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -100,7 +100,7 @@
 	before, after := p.changeState(func(state instance.State) instance.State {
 		return state.WithLeaving(incarnation, closesAt)
 	})
-	if before.Leaving == after.Leaving {
+	if before.Leaving == after.Leaving && before.ClosesAt.Equal(after.ClosesAt) {
 		return
 	}
 	p.process.Log.Emit(event.LeavingDeclared, "backend", p.process.Settings.Backend, "instance", incarnation, "recalled", recalled)
@@ -186,12 +186,37 @@
 	})
 }
 
-// recall closes the back end for a call whose sender knows from this node, before it was restarted,
-// that the back end is leaving. It returns the state after that. When the back end began to leave
-// is not known, so that no time is left for further requests.
+// recall takes over what the sender of a call knows, perhaps from the process that ran here before: the back
+// end is leaving, and for how long. It returns the state after that. A sender that does not tell the time
+// may have known it for long, so that no time is left for further requests.
 func (p *plugin) recall(call *kernel.Call) instance.State {
-	if call.Declared.Leaving {
-		p.setLeaving(call.Declared.Incarnation, clock.Now().Time(), true)
+	declared := call.Declared
+	if !declared.Leaving {
+		return p.State()
 	}
-	return p.State()
+	now := clock.Now().Time()
+	closesAt := now
+	if declared.LeavingFor != nil {
+		closesAt = now.Add(p.closeAfter - *declared.LeavingFor)
+	}
+	p.setLeaving(declared.Incarnation, closesAt, true)
+	state := p.State()
+	if state.ID == "" {
+		p.recallUnknown(declared.Incarnation)
+	}
+	return state
+}
+
+// recallUnknown takes over that an incarnation is leaving whose heartbeats may still arrive.
+func (p *plugin) recallUnknown(incarnation string) {
+	id, born := instance.ParseIncarnation(incarnation)
+	if id == "" {
+		return
+	}
+	// If the queue of the control loop is full, the next call of the sender tells it again.
+	p.process.Loop.Post(func(now time.Time) {
+		if p.State().ID == "" {
+			p.RecallLeft(now, membership.BackEndStart{ID: id, Born: born})
+		}
+	})
 }
--- a/plugin/routing/attempt.go
+++ b/plugin/routing/attempt.go
@@ -122,7 +122,7 @@
 	header := call.Header.Clone()
 	delete(header, process.Dialect.Remaining) // the node sets its own value for the back end
 	callContext.Write(header)
-	if declared, known := a.router.memory.Lookup(a.target.Address); known {
+	if declared, known := a.router.memory.Lookup(time.Now(), a.target.Address); known {
 		wire.WriteDeclared(header, declared)
 	}
 	return header
--- a/plugin/routing/declared_test.go
+++ b/plugin/routing/declared_test.go
@@ -40,7 +40,10 @@
 		if answer, err := r.handle(newCall(ctx)); err == nil {
 			discardAnswer(answer)
 		}
-		return <-received
+		told := <-received
+		is.Equal(told.LeavingFor != nil, told.Leaving) // with the time since the node reported it
+		told.LeavingFor = nil
+		return told
 	}
 
 	reported = limited
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -219,7 +219,7 @@
 		return
 	}
 	sentAt := f.now
-	declared, _ := entry.memory.Lookup(fleetAddress)
+	declared, _ := entry.memory.Lookup(sentAt, fleetAddress)
 	if f.without == memory {
 		declared = instance.Declared{}
 	}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/ratelimit"
@@ -19,6 +20,7 @@
 	nameIncarnation    = "incarnation"
 	nameRateLimit      = "limit" // requests a second
 	nameBackEndLeaving = "leaving"
+	nameLeavingFor     = "leaving_ms"
 )
 
 // WriteDeclared sets HeaderBackEnd if the back end has a restriction.
@@ -32,6 +34,9 @@
 		list.addText(nameRateLimit, strconv.FormatFloat(float64(*declared.Limit), 'g', -1, 64))
 	}
 	list.addFlag(nameBackEndLeaving, declared.Leaving)
+	if declared.LeavingFor != nil {
+		list.addText(nameLeavingFor, strconv.FormatInt(declared.LeavingFor.Milliseconds(), 10))
+	}
 	header[HeaderBackEnd] = []string{list.String()}
 }
 
@@ -49,7 +54,22 @@
 			}
 		case nameBackEndLeaving:
 			declared.Leaving = value == "1"
+		case nameLeavingFor:
+			declared.LeavingFor = readMilliseconds(value)
 		}
 	})
 	return declared
 }
+
+// maximumLeavingFor bounds the time that is read from nameLeavingFor.
+const maximumLeavingFor = 24 * time.Hour
+
+// readMilliseconds returns a time in milliseconds, nil if it is malformed.
+func readMilliseconds(text string) *time.Duration {
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 || number > maximumLeavingFor.Milliseconds() {
+		return nil
+	}
+	read := time.Duration(number) * time.Millisecond
+	return &read
+}
