--- a/e2e/brokenanswer_test.go
+++ b/e2e/brokenanswer_test.go
@@ -299,18 +299,25 @@
 	}
 }
 
-// TestInvalidAnswerAmongPipelined guards against a broken answer that takes those of the other pipelined
-// requests with it, or is passed on among them.
-func TestInvalidAnswerAmongPipelined(t *testing.T) {
+// startFrontBeside starts a node beside a raw back end of the service front, whose requests may be repeated.
+func startFrontBeside(t *testing.T, serve rawBackEnd) *platformNode {
+	t.Helper()
 	stub := metastore.NewServer()
 	store := httptest.NewServer(stub.Handler())
 	t.Cleanup(store.Close)
 	stub.Put("op/config", platformConfiguration(3, "front"))
 	front := newPlatformNode(t, "front")
 	front.slots = 64
-	front.startWithBackEnd(t, store.URL, startRawBackEnd(t, serveScript))
+	front.startWithBackEnd(t, store.URL, startRawBackEnd(t, serve))
 	front.awaitReady(t)
 	front.getUntilServed(t, "/front/x", "")
+	return front
+}
+
+// TestInvalidAnswerAmongPipelined guards against a broken answer that takes those of the other pipelined
+// requests with it, or is passed on among them.
+func TestInvalidAnswerAmongPipelined(t *testing.T) {
+	front := startFrontBeside(t, serveScript)
 	const sound = "HTTP/1.1 200 OK\r\n%IDContent-Length: 5\r\n\r\nsound"
 	for name, broken := range map[string]string{
 		"status 000":               "HTTP/1.1 000 x\r\n%IDContent-Length: 5\r\n\r\nwrong",
