kernel: a body in chunks that turns out to be too large is refused with 413

A caller whose body had no length got 502 (connection-lost) when it passed the limit, which tells it to send the same body again.

Cause: the reader's error ends the upload, and the exchange reports a broken connection.

--- a/kernel/body.go
+++ b/kernel/body.go
@@ -16,7 +16,8 @@
 	data     []byte
 	buffered bool
 	stream   io.ReadCloser
-	length   int64 // -1 when unknown
+	length   int64        // -1 when unknown
+	limited  *limitedBody // nil without a limit, or when it is known to be kept
 	opened   bool
 }
 
@@ -40,7 +41,8 @@
 		return NewBufferedBody(nil), nil
 	}
 	if isStreamed(r) {
-		return &Body{stream: r.Body, length: r.ContentLength}, nil
+		limited, _ := r.Body.(*limitedBody)
+		return &Body{stream: r.Body, length: r.ContentLength, limited: limited}, nil
 	}
 	data := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, data); err != nil {
--- a/kernel/limits_test.go
+++ b/kernel/limits_test.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// TestCallerLearnsThatBodyIsTooLarge guards against a caller that sends a body again since its connection seems to
+// have broken: its length was not known, and it turned out to be too large.
+func TestCallerLearnsThatBodyIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	for length, want := range map[int]result.Code{10: result.ConnectionLost, 11: result.BodyTooLarge} {
+		r := httptest.NewRequest(http.MethodPost, "/x", io.NopCloser(strings.NewReader(strings.Repeat("b", length))))
+		r.ContentLength = -1
+		is.NoErr(checkLimits(r, policy.Limits{MaximumBody: 10}))
+		body, err := newBody(r)
+		is.NoErr(err)
+		stream, _ := body.Open()
+		_, _ = io.Copy(io.Discard, stream)
+		failed := result.From(body.causeOf(result.New(result.ConnectionLost, "the connection broke")))
+		is.Equal(failed.Code, want)
+		is.True(!failed.NotRun()) // a part of it may have run
+		is.NoErr(body.causeOf(nil))
+	}
+}
+
 // TestUnknownLengthBodyFailsAtLimit guards against a truncated body that looks complete.
 func TestUnknownLengthBodyFailsAtLimit(t *testing.T) {
 	is := is.New(t)
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -30,6 +30,7 @@
 			defer p.executions.remove(call.Execution)
 		}
 		answer, err = chain.Handle(call)
+		err = call.Body.causeOf(err)
 		recordFailedCall(call, answer, err)
 	}
 	defer func() { p.Counters.observe(direction, err, time.Since(started)) }()
