instance: what has left long ago does not keep a later start closed

What has left is in the store now and outlives its processes, so that two guesses would have lasted with it: an announcement without a time of start closed any start of that id after each restart of the process, and a start whose clock was set back was taken for a late one for as long as it ran.

Change: what is recalled without a time of start says nothing of starts that have one. A start that is known by its time stays closed for good.

--- a/instance/former.go
+++ b/instance/former.go
@@ -12,6 +12,9 @@
 	// Until then, heartbeats of any start of the back end count as late ones: its announcement did
 	// not say which start it was.
 	anyStartUntil time.Time
+	// Until then, heartbeats of earlier starts, by the clock of the back end, count as late ones. After that,
+	// the clock must have been set back.
+	earlierUntil time.Time
 	// Number of incarnations that were added before.
 	order uint64
 }
@@ -32,10 +35,12 @@
 
 // add records a former incarnation. The latest start of a back end is kept; what holds for an earlier
 // one then holds for it too.
-func (f *formerIncarnations) add(id string, ended formerIncarnation) {
+func (f *formerIncarnations) add(now time.Time, id string, ended formerIncarnation) {
+	ended.earlierUntil = now.Add(latestHeartbeat)
 	known, exists := f.byID[id]
 	if exists && known.born > ended.born {
 		known.left = known.left || ended.left
+		known.earlierUntil = ended.earlierUntil
 		ended = known
 	}
 	if exists && known.born == ended.born {
@@ -64,7 +69,7 @@
 		left.born = f.byID[id].born
 		left.anyStartUntil = now.Add(latestHeartbeat)
 	}
-	f.add(id, left)
+	f.add(now, id, left)
 }
 
 func (f *formerIncarnations) removeOldest() {
@@ -97,10 +102,16 @@
 	case report.Born == known.born:
 		return known.left || report.Sequence <= known.sequence
 	default:
-		return report.Born < known.born && !current
+		return report.Born < known.born && !current && now.Before(known.earlierUntil)
 	}
 }
 
+// knows reports whether a former incarnation with an id is known.
+func (f *formerIncarnations) knows(id string) bool {
+	_, exists := f.byID[id]
+	return exists
+}
+
 // hasLeft reports whether a start of a back end, or a later one, is known to have announced that it
 // leaves.
 func (f *formerIncarnations) hasLeft(id string, born int64) bool {
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -32,7 +32,7 @@
 		case s.leave:
 			_ = tracker.Leave(now, s.id, s.born)
 		case s.replacement != "":
-			tracker.ObserveReplacement(s.id, s.replacement)
+			tracker.ObserveReplacement(now, s.id, s.replacement)
 		default:
 			_ = tracker.Observe(now, Report{ID: s.id, Born: s.born, Service: "s", Slots: 4, Sequence: s.sequence, Draining: s.draining})
 		}
@@ -254,3 +254,32 @@
 		})
 	}
 }
+
+// TestRecallWithoutTimeOfStart guards against a running back end that is closed by the announcement of a start
+// before, which did not say which one it was, in each process that is started after it.
+func TestRecallWithoutTimeOfStart(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Config{Service: "s"})
+	is.True(tracker.RecallLeft(start, "a", 0))
+	is.NoErr(tracker.Observe(start, Report{ID: "a", Service: "s", Sequence: 1})) // late
+	is.True(!tracker.State().Open(start))
+	is.NoErr(tracker.Observe(start, Report{ID: "a", Born: 20, Service: "s", Sequence: 1}))
+	is.True(tracker.State().Open(start))
+	is.True(!tracker.RecallLeft(start, "a", 0))
+	is.True(tracker.State().Open(start))
+}
+
+// TestStartWithEarlierClockIsOpened guards against a back end that gets no requests for as long as it runs, since
+// its clock was set back after a start that has left.
+func TestStartWithEarlierClockIsOpened(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Config{Service: "s"})
+	is.True(tracker.RecallLeft(start, "a", 100))
+	earlier := Report{ID: "a", Born: 90, Service: "s", Sequence: 1}
+	is.NoErr(tracker.Observe(start.Add(latestHeartbeat-1), earlier)) // perhaps late
+	is.True(!tracker.State().Open(start.Add(latestHeartbeat)))
+	is.NoErr(tracker.Observe(start.Add(latestHeartbeat), earlier))
+	is.True(tracker.State().Open(start.Add(latestHeartbeat)))
+	is.NoErr(tracker.Observe(start.Add(latestHeartbeat), Report{ID: "a", Born: 100, Service: "s", Sequence: 9}))
+	is.Equal(tracker.State().Born, int64(90)) // what has left stays so
+}
--- a/instance/order_test.go
+++ b/instance/order_test.go
@@ -164,7 +164,7 @@
 		return
 	}
 	if rapid.IntRange(0, 3).Draw(t, "request") == 0 {
-		tracker.ObserveReplacement(state.Incarnation(), running.id)
+		tracker.ObserveReplacement(start.Add(at), state.Incarnation(), running.id)
 	}
 }
 
@@ -193,7 +193,8 @@
 }
 
 // TestRunningBackEndIsOpened guards against a back end that gets no requests because messages of
-// earlier starts were late: after its heartbeats have arrived for a while, it is open.
+// earlier starts were late: after its heartbeats have arrived for a while, it is open. If the clock was set back
+// far, that takes as long as a heartbeat may be late.
 func TestRunningBackEndIsOpened(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t, false)
@@ -204,6 +205,10 @@
 		last := h.lives[len(h.lives)-1]
 		after := &life{id: "a", born: last.born + 60000}
 		at := last.ended + maximumDelay
+		if rapid.Bool().Draw(t, "clock set back") {
+			after.born = max(last.born-600000, 1)
+			at += latestHeartbeat
+		}
 		_ = deliver(tracker, at, message{from: after, sequence: 1})
 		is.New(t).True(tracker.State().Open(start.Add(at)))
 		is.New(t).Equal(tracker.State().Born, after.born)
--- a/instance/tracker.go
+++ b/instance/tracker.go
@@ -159,7 +159,7 @@
 // requests. The same holds if it has declared that in an answer already.
 func (t *Tracker) begin(now time.Time, report Report) {
 	declared := report.ID == t.state.ID && t.state.Leaving && t.hasAnswered(now, report)
-	t.retire()
+	t.retire(now)
 	t.state = State{ID: report.ID, Born: report.Born}
 	t.sequence = 0
 	if report.Draining || declared {
@@ -177,9 +177,9 @@
 }
 
 // retire ends the current incarnation. None is known then.
-func (t *Tracker) retire() {
+func (t *Tracker) retire(now time.Time) {
 	if t.state.ID != "" {
-		t.former.add(t.state.ID, formerIncarnation{born: t.state.Born, sequence: t.sequence, left: t.state.Leaving})
+		t.former.add(now, t.state.ID, formerIncarnation{born: t.state.Born, sequence: t.sequence, left: t.state.Leaving})
 	}
 	t.state = State{}
 	t.sequence = 0
@@ -210,18 +210,26 @@
 }
 
 // RecallLeft processes the information that a start had announced its stop to the process that ran
-// here before. It is not known when that was, so that no time is left for requests. It reports
-// whether that changes anything.
+// here before. It is not known when that was, perhaps long ago, so that no time is left for requests, and
+// that one without a time of start says nothing of starts that have one. It reports whether that changes
+// anything.
 func (t *Tracker) RecallLeft(now time.Time, id string, born int64) bool {
-	if t.state.ID == id && (born == 0 || t.state.Born == born) {
+	switch {
+	case t.state.ID == id && t.state.Born == born:
 		wasOpen := t.state.Open(now)
 		t.leave(now)
 		return wasOpen
-	}
-	if t.former.hasLeft(id, born) {
+	case t.former.hasLeft(id, born):
 		return false
+	case born == 0 && (t.state.ID == id || t.former.knows(id)):
+		return false
+	case born == 0:
+		t.former.add(now, id, formerIncarnation{left: true})
+		t.recordLeft(id, born)
+		return true
+	default:
+		return t.leaveStart(now, now, id, born) == nil
 	}
-	return t.leaveStart(now, now, id, born) == nil
 }
 
 // leaveStart processes that a start leaves and takes no more requests from closesAt on.
@@ -236,7 +244,7 @@
 		t.leave(closesAt)
 		t.former.addLeft(now, id, born)
 	case born > t.state.Born:
-		t.retire()
+		t.retire(now)
 		t.former.addLeft(now, id, born)
 	default:
 		return t.checkEnded(id, born)
@@ -277,10 +285,10 @@
 // ObserveReplacement processes the id of another back end, actual, which refused a request sent
 // to the incarnation expected. The state of the new incarnation is unknown until its next
 // heartbeat.
-func (t *Tracker) ObserveReplacement(expected, actual string) {
+func (t *Tracker) ObserveReplacement(now time.Time, expected, actual string) {
 	if expected != t.state.Incarnation() || actual == t.state.ID || actual == "" {
 		return
 	}
-	t.retire()
+	t.retire(now)
 	t.former.removeRunning(actual)
 }
--- a/kernel/duplex_test.go
+++ b/kernel/duplex_test.go
@@ -270,3 +270,25 @@
 		})
 	}
 }
+
+// TestLongBodyThatIsReadKeepsConnection guards against connections that close with each long request.
+func TestLongBodyThatIsReadKeepsConnection(t *testing.T) {
+	for framing, frame := range framedBodies {
+		t.Run(framing, func(t *testing.T) {
+			is := is.New(t)
+			conn := dialEarly(t, startEarlyServer(t, refuseAtOnce, 0))
+			reader := bufio.NewReader(conn)
+			for range 3 {
+				field, body := frame(bodyWithRequest(600 << 10))
+				_, err := io.WriteString(conn, "POST /read HTTP/1.1\r\nHost: h\r\n"+field+"\r\n\r\n"+body)
+				is.NoErr(err)
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusOK)
+				is.True(!response.Close)
+				_, err = io.ReadAll(response.Body)
+				is.NoErr(err)
+			}
+		})
+	}
+}
--- a/plugin/instance/backend.go
+++ b/plugin/instance/backend.go
@@ -121,9 +121,9 @@
 }
 
 func (p *plugin) ObserveReplacement(expected, actual string) {
-	p.process.Loop.Post(func(time.Time) {
+	p.process.Loop.Post(func(now time.Time) {
 		p.recordDeclaredLeaving()
-		p.tracker.ObserveReplacement(expected, actual)
+		p.tracker.ObserveReplacement(now, expected, actual)
 		p.publish()
 	})
 }
--- a/plugin/instance/backend_test.go
+++ b/plugin/instance/backend_test.go
@@ -26,7 +26,7 @@
 	p.recordDeclaredLeaving()
 	is.True(!p.tracker.State().Open(now))
 	is.NoErr(p.tracker.Observe(now, instance.Report{ID: "b", Born: 20, Service: "s", Sequence: 1}))
-	p.tracker.ObserveReplacement("b@20", "a")
+	p.tracker.ObserveReplacement(now, "b@20", "a")
 	is.NoErr(p.tracker.Observe(now, instance.Report{ID: "a", Born: 10, Service: "s", Sequence: 2})) // late
 	is.True(!p.tracker.State().Open(now))
 }
