kernel: the time that a request tells counts from its head

A body of up to 64 KB is read into memory before the call is built.

Change: the call notes when its head was read, and both hops count from then.

Evidence: TestDeadlineCountsFromHead fails with the line as it was, and passes.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -26,7 +26,9 @@
 	Host   string
 	// Header is forwarded. Hop-by-hop and internal headers are removed.
 	Header http.Header
-	Body   *Body
+	// Arrived is when the head of the request had been read. The times that it tells count from then.
+	Arrived clock.Instant
+	Body    *Body
 	// Policy is the effective policy of the call: the policy tree and, when Routed, its
 	// route.
 	Policy policy.Effective
--- a/kernel/inbound.go
+++ b/kernel/inbound.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/loomcleat/loomcleat/admission"
-	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/policy"
 	"github.com/loomcleat/loomcleat/result"
@@ -114,7 +113,7 @@
 		call.Priority = 0
 		return
 	}
-	call.Deadline = clock.Now().Add(received.Remaining)
+	call.Deadline = call.Arrived.Add(received.Remaining)
 	call.Priority = min(max(received.Priority, 0), admission.MaximumPriority)
 	call.Budget = retrybudget.Open(min(received.RetryAllowance, policy.MaximumRetryBudget))
 	call.Hops = received.Hops
--- a/kernel/outbound.go
+++ b/kernel/outbound.go
@@ -159,5 +159,5 @@
 		call.CallerTimeout = left
 		limit = min(limit, left)
 	}
-	return clock.Now().Add(limit)
+	return call.Arrived.Add(limit)
 }
--- a/kernel/outbound_test.go
+++ b/kernel/outbound_test.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -125,3 +126,28 @@
 	is.Equal(result.From(err).Status(), http.StatusServiceUnavailable)
 	is.True(result.From(err).RetryAfter > 0)
 }
+
+// slowBody takes a time to arrive.
+type slowBody struct {
+	io.Reader
+	takes time.Duration
+}
+
+func (b *slowBody) Read(data []byte) (int, error) {
+	time.Sleep(b.takes)
+	b.takes = 0
+	return b.Reader.Read(data)
+}
+
+// TestDeadlineCountsFromHead guards against a back end that gets more time than the caller has left, since the
+// body of the request took long to arrive.
+func TestDeadlineCountsFromHead(t *testing.T) {
+	is := is.New(t)
+	const left, takes = 500 * time.Millisecond, 50 * time.Millisecond
+	request := entryRequest("/a/x", "first", "500")
+	request.Method, request.ContentLength = http.MethodPost, 4
+	request.Body = io.NopCloser(&slowBody{Reader: strings.NewReader("body"), takes: takes})
+	call, err := entryProcess().entryCall(request)
+	is.NoErr(err)
+	is.True(call.Deadline.Left() <= left-takes)
+}
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/wire"
@@ -108,6 +109,7 @@
 
 // newCall builds a call with the fields that all directions have in common.
 func (p *Process) newCall(r *http.Request, to target) (*Call, error) {
+	arrived := clock.Now() // a body may take long to arrive
 	body, err := newBody(r)
 	if err != nil {
 		return nil, err
@@ -120,6 +122,7 @@
 		URL:         r.URL,
 		Host:        r.Host,
 		Header:      header,
+		Arrived:     arrived,
 		Body:        body,
 		Fingerprint: body.fingerprint(),
 		Policy:      to.policy,
