transport/exchange: an early answer that has arrived is read to its end

A back end answers a long request early and closes with the rest unread, which resets the connection.

Cause: the bound for the wait after a failed write also held for the content.

Change: once the head has been read and the connection has refused a write, the reader gets what has arrived; the end of the connection ends it. Where the request's own body failed, the bound stays.

The tests of cut heads shared a variable without a lock; they use an atomic one now and check the same.

--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -35,6 +35,9 @@
 	stopContextWatch func() bool     // unregisters the function that closes the connection when the context ends
 	upload           *upload         // nil if the request was written before the response is read
 	contextDone      <-chan struct{} // closed at the end of the context
+	writeFailed      atomic.Bool     // the connection has refused a write
+	waitMutex        sync.Mutex      // guards headRead and the read deadline
+	headRead         bool            // the head of the response has been read
 }
 
 // upload is the write of a request in the background.
@@ -52,8 +55,8 @@
 	// the response is read. Longer ones are written in the background, since the
 	// server may respond before it has read them.
 	maximumInlineBody = 8 << 10
-	// finalReadTimeout is how long to wait for the response after writing the request
-	// failed: the server may have responded before it closed the connection.
+	// finalReadTimeout is how long to wait for the head of the response after writing the
+	// request failed: the server may have responded before it closed the connection.
 	finalReadTimeout = 100 * time.Millisecond
 )
 
@@ -125,6 +128,9 @@
 func (c *conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	c.written.Add(int64(n))
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
@@ -135,6 +141,8 @@
 	c.written.Store(0)
 	c.checker, c.readErr = responsecheck.NewChecker(request.Method), nil
 	c.upload, c.contextDone = nil, ctx.Done()
+	c.writeFailed.Store(false)
+	c.headRead = false
 	c.reader, _ = readers.Get().(*bufio.Reader)
 	c.reader.Reset(c)
 	c.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
@@ -147,6 +155,7 @@
 		c.discard()
 		return nil, c.causeOf(err)
 	}
+	c.recordHead()
 	response.Body = c.newBody(response)
 	return response, nil
 }
@@ -163,12 +172,35 @@
 		defer close(background.done)
 		background.err = c.write(request)
 		if background.err != nil {
-			_ = c.SetReadDeadline(time.Now().Add(finalReadTimeout))
+			c.boundReads()
 		}
 	}()
 	return nil
 }
 
+// boundReads bounds the wait for the response after writing the request failed. If the head has been read and
+// the connection has refused the write, nothing more arrives, and the reader of the content, who may be slow,
+// gets what has arrived.
+func (c *conn) boundReads() {
+	c.waitMutex.Lock()
+	defer c.waitMutex.Unlock()
+	if c.headRead && c.writeFailed.Load() {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(finalReadTimeout)) // fails if the connection is closed
+}
+
+// recordHead records that the head of the response has been read, which lifts the bound of boundReads if the
+// connection has refused the write.
+func (c *conn) recordHead() {
+	c.waitMutex.Lock()
+	defer c.waitMutex.Unlock()
+	c.headRead = true
+	if c.writeFailed.Load() {
+		_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed
+	}
+}
+
 func (c *conn) write(request *http.Request) error {
 	writer, _ := writers.Get().(*bufio.Writer)
 	writer.Reset(c)
--- a/transport/exchange/cuthead_test.go
+++ b/transport/exchange/cuthead_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -42,19 +43,20 @@
 		for end, finish := range cutEnds {
 			t.Run(name+", "+end, func(t *testing.T) {
 				t.Parallel()
-				cut := 0
+				var cut atomic.Int64
 				server := startServer(t, func(conn net.Conn, reader *bufio.Reader) {
 					if _, err := reader.Peek(1); err != nil {
 						return
 					}
-					_, _ = io.WriteString(conn, head[:cut])
+					_, _ = io.WriteString(conn, head[:cut.Load()])
 					finish(conn)
 					_, _ = io.Copy(io.Discard, reader) // until the client closes
 				})
-				for ; cut < len(head); cut++ {
+				for sent := range len(head) {
+					cut.Store(int64(sent))
 					if response, err := newTestClient().Do(t.Context(), server.address, newRequest("GET", "")); err == nil {
 						_ = response.Body.Close()
-						t.Errorf("%q is a response of status %d", head[:cut], response.StatusCode)
+						t.Errorf("%q is a response of status %d", head[:sent], response.StatusCode)
 					}
 				}
 			})
