kernel, soak: stops wait for callers that still write; all processes end after an acknowledgement

A stopping process waited for callers that still write behind an early answer, except in the moment between the end of the call and the close of the connection. Seen by reading, not shown; the end of the servers is now followed by another wait, for the time that is left. TestStopWaitsForUploader holds with and without that line: it guards the rest of the stop.

The soak draws forgotten-leaving: a back end deregisters, all processes are killed right after the acknowledgement, and heartbeats from before are late.

--- a/e2e/earlyanswer_test.go
+++ b/e2e/earlyanswer_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,3 +114,34 @@
 	}
 	is.New(t).Equal(backEnd.unexpected("inner"), []string{})
 }
+
+// TestStopWaitsForUploader guards against a client that loses an early answer since the process stopped while it
+// still wrote.
+func TestStopWaitsForUploader(t *testing.T) {
+	is := is.New(t)
+	backEnd := &earlyBackEnd{}
+	entry, _ := startNodesBeside(t, backEnd.serve)
+	const size, writes = 1 << 20, 1300 * time.Millisecond // of the 1.8 s until calls end
+	conn := entry.dial(t)
+	_, err := fmt.Fprintf(conn, "POST /deep/early HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: early%d\r\nX-Deadline-Remaining: 5000\r\nContent-Length: %d\r\n\r\n",
+		attemptCount.Add(1), size)
+	is.NoErr(err)
+	for i := range uploadPieces {
+		_, err := conn.Write(make([]byte, size/uploadPieces))
+		is.NoErr(err)
+		if i == 0 {
+			time.Sleep(uploadPause)
+			entry.signal(syscall.SIGTERM)
+		}
+		time.Sleep(writes / uploadPieces)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusRequestEntityTooLarge)
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	_ = conn.Close()
+	<-entry.exited
+	is.NoErr(entry.err) // in order, and in time
+	is.True(!strings.Contains(entry.log.String(), "calls-cut-off"))
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -53,6 +53,7 @@
 	{"drain-backend", false, drainBackend},
 	{"deregister-backend", false, deregisterBackend},
 	{"late-heartbeat", true, deregisterWithLateHeartbeat},
+	{"forgotten-leaving", true, killAllAfterDeregistration},
 	{"leave-by-answers", false, leaveByAnswers},
 	{"backend-restarted", true, restartUnderID},
 	{"rate-limit", false, limitBackend},
@@ -162,6 +163,20 @@
 	deregisterBackend(f, n, duration)
 }
 
+// killAllAfterDeregistration makes the back end deregister and kills all processes right after that, while
+// heartbeats from before are on their way until the back end should get no requests any more.
+func killAllAfterDeregistration(f *fleet, n *node, duration time.Duration) {
+	n.backend.DelayHeartbeats(drainTime + duration/2)
+	time.Sleep(heartbeatInterval)
+	var killed sync.WaitGroup
+	killed.Go(func() {
+		time.Sleep(duration / 10)
+		killAll(f, n, duration)
+	})
+	deregisterBackend(f, n, duration)
+	killed.Wait()
+}
+
 // sendSurplusRefusals makes the back end refuse requests, and send each refusal once more, late.
 func sendSurplusRefusals(_ *fleet, n *node, duration time.Duration) {
 	n.backend.SetShedding(true)
--- a/kernel/lifecycle.go
+++ b/kernel/lifecycle.go
@@ -88,6 +88,8 @@
 	p.draining.Store(true)
 	p.finishCalls(ctx, times)
 	p.servers.stop(times.Close / 2)
+	// Callers that still write get the time that is left. If it is too short, their connections are cut.
+	_ = p.waitIdle(ctx, p.stopDeadline.left())
 	p.cancel()
 	p.Control.Close()
 	p.Log.Emit(event.ProcessStopped, "id", p.ID)
--- a/plugin/instance/record.go
+++ b/plugin/instance/record.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
 	"github.com/loomcleat/loomcleat/result"
@@ -27,13 +26,6 @@
 	// acknowledgeTimeout is how long a back end waits for the acknowledgement that it leaves. It
 	// gives a message up after a second.
 	acknowledgeTimeout = 850 * time.Millisecond
-	// firstStoreTimeout and maximumStoreTimeout bound one attempt to read and write the store. The
-	// first attempts are short, so that one whose answer is lost can be repeated in acknowledgeTimeout.
-	firstStoreTimeout   = 350 * time.Millisecond
-	maximumStoreTimeout = 3 * time.Second
-	// firstStorePause and maximumStorePause bound the time between two attempts.
-	firstStorePause   = 50 * time.Millisecond
-	maximumStorePause = time.Second
 	// storeAgainSpread is the time over which processes write their records again after the store
 	// was restored from an older copy.
 	storeAgainSpread = 2 * time.Second
@@ -195,58 +187,3 @@
 	}
 	return starts
 }
-
-// keepRecord reads the record after the start of the process, and writes each change, until ctx is done.
-func (p *plugin) keepRecord(ctx context.Context) {
-	for {
-		p.syncUntilDone(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.record.due:
-		}
-	}
-}
-
-// syncUntilDone repeats sync until the store has the record or ctx is done. Only the first error is logged.
-func (p *plugin) syncUntilDone(ctx context.Context) {
-	timeout, pause := firstStoreTimeout, firstStorePause
-	for failed := false; ctx.Err() == nil; {
-		done, err := p.sync(ctx, timeout)
-		if done {
-			return
-		}
-		if err != nil && !failed && ctx.Err() == nil {
-			failed = true
-			p.process.Log.Emit(event.LeavingNotStored, "key", p.record.key, "error", err)
-		}
-		kernel.Pause(ctx, pause/2+rand.N(pause))
-		timeout, pause = min(2*timeout, maximumStoreTimeout), min(2*pause, maximumStorePause)
-	}
-}
-
-// sync reads the record, unless it is known, and writes what it lacks. It returns false if another process
-// changed the record meanwhile.
-func (p *plugin) sync(ctx context.Context, timeout time.Duration) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	entry, known, _, _ := p.record.plan()
-	if !known {
-		read, err := p.record.store.Get(ctx, p.record.key)
-		if err != nil {
-			return false, err
-		}
-		entry = read
-		p.record.setEntry(entry, true)
-		stored := decodeRecord(entry.Value)
-		if err := p.process.Loop.Do(ctx, func(now time.Time) { p.recallStored(now, stored) }); err != nil {
-			return false, err
-		}
-	}
-	_, _, wanted, changes := p.record.plan()
-	done, err := p.record.write(ctx, entry, wanted)
-	if done {
-		p.record.setStored(changes)
-	}
-	return done, err
-}
