instance: a process that had read no record itself is no witness for the one after it

While the store is away, a process that has started relies on a peer that knew the process before it. If that one had started while the store was away too, the peer could tell nothing of what had left before both, and a late heartbeat opened the back end. Seen on reading the change.

--- a/instance/recall.go
+++ b/instance/recall.go
@@ -21,8 +21,8 @@
 // ObserveStore records that the store has been read.
 func (r *Recall) ObserveStore() { r.known = true }
 
-// ObservePredecessor records that a peer knew a process that ran here before, and has told what
-// that process had acknowledged.
+// ObservePredecessor records that a peer knew a process that ran here before and knew itself what had left, and
+// has told what that process had acknowledged.
 func (r *Recall) ObservePredecessor() { r.peerTold = true }
 
 // ObservePeer records that a peer has told of all processes that it knows to have run here before. The peer
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -72,9 +72,9 @@
 	// ObserveLeaving reports that an incarnation declared that it is leaving, in the answer to a
 	// request sent at sentAt.
 	ObserveLeaving(incarnation string, sentAt time.Time)
-	// RecallPredecessor reports that a peer knew a process that ran here before, and the last start of
-	// the back end that had announced to it that it leaves, nil for none. It is called on the control loop.
-	RecallPredecessor(now time.Time, left *membership.BackEndStart)
+	// RecallPredecessor reports that a peer knew a process that ran here before, by its record. It is called
+	// on the control loop.
+	RecallPredecessor(now time.Time, predecessor membership.Member)
 	// RecallFromPeer reports that a peer has told of all processes that it knows to have run here
 	// before. It had been running for some time when this process started. It is called on the control loop.
 	RecallFromPeer(now time.Time, running time.Duration)
--- a/plugin/instance/recall.go
+++ b/plugin/instance/recall.go
@@ -20,12 +20,15 @@
 	sourceCaller = "caller"
 )
 
-// RecallPredecessor implements kernel.BackEnd.
-func (p *plugin) RecallPredecessor(now time.Time, left *membership.BackEndStart) {
-	if left != nil {
-		p.recallStart(now, instance.Start(*left), sourcePeer)
+// RecallPredecessor implements kernel.BackEnd. A process whose back end was down may not have known itself what
+// had left before it.
+func (p *plugin) RecallPredecessor(now time.Time, predecessor membership.Member) {
+	if predecessor.LeftBackEnd != nil {
+		p.recallStart(now, instance.Start(*predecessor.LeftBackEnd), sourcePeer)
+	}
+	if !predecessor.Down {
+		p.recalling.ObservePredecessor()
 	}
-	p.recalling.ObservePredecessor()
 }
 
 // RecallFromPeer implements kernel.BackEnd.
--- a/plugin/instance/record_test.go
+++ b/plugin/instance/record_test.go
@@ -8,11 +8,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/loomcleat/loomcleat/clock"
 	"github.com/loomcleat/loomcleat/event"
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/internal/standin/keyvalue"
 	"github.com/loomcleat/loomcleat/internal/standin/metastore"
 	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/platform"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/store"
@@ -160,3 +162,24 @@
 	is.Equal(mergeStarts([]instance.Start{a, b, c, d}, []instance.Start{e}), []instance.Start{b, c, d, e})
 	is.Equal(mergeStarts(nil, []instance.Start{e}), []instance.Start{e})
 }
+
+// TestPredecessorThatKnewNothing guards against relying on a process that ended before it had read the store, of
+// which a peer can tell nothing but that it was there.
+func TestPredecessorThatKnewNothing(t *testing.T) {
+	is := is.New(t)
+	stub := metastore.NewServer()
+	stub.SetFaults(metastore.Faults{Down: true})
+	p := startWithStore(t, stub)
+	now := clock.Now().Time()
+	late := now.Add(instance.StorePatience)
+	known := func(predecessor membership.Member) bool {
+		is.NoErr(p.process.Loop.Do(t.Context(), func(time.Time) {
+			p.RecallPredecessor(now, predecessor)
+			p.checkRecall(late)
+		}))
+		return !p.State().Unconfirmed
+	}
+	is.True(!known(membership.Member{Down: true}))
+	is.True(!known(membership.Member{Down: true, LeftBackEnd: &membership.BackEndStart{ID: "a", Born: 10}}))
+	is.True(known(membership.Member{}))
+}
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -108,7 +108,7 @@
 // recallPredecessor passes on what a process that ran here before had acknowledged.
 func (m *mesh) recallPredecessor(now time.Time, predecessor membership.Member) {
 	if m.process.BackEnd != nil {
-		m.process.BackEnd.RecallPredecessor(now, predecessor.LeftBackEnd)
+		m.process.BackEnd.RecallPredecessor(now, predecessor)
 	}
 }
 
