instance: what the store tells is not taken for told before it is; the change read again

Cause: the record counted as known once it had been read. If the queue of the control loop was full just then, what it told was lost, and the back end was opened by what peers knew, or after 30 s. A restore of the store seen while the record was read could be forgotten too.

Change: one goroutine owns the entry, which is known when the tracker has been told, and a restore makes it be read again. TestRecallWaitsForControlLoop fails with the order as it was, and passes.

Also from the reading: the check whether peers have told ends with the recall, in place of five wake-ups a second for good; an exchange takes its lock only for a request written in the background; wire.LeftBackEnd was membership.BackEndStart again; two parameters were unused; five e2e tests share their beginning. Behaviour is the same in these.

--- a/e2e/acknowledged_test.go
+++ b/e2e/acknowledged_test.go
@@ -41,6 +41,17 @@
 	"heartbeat":      func(node *platformNode, born int64) int { return node.heartbeatOf(born, 101, "draining") },
 }
 
+// startNodeAndEntry starts a node beside a back end that has sent heartbeat 100, an entry to it, and their store. born
+// is when the back end started.
+func startNodeAndEntry(t *testing.T) (node, entry *platformNode, stub *metastore.Server, born int64) {
+	t.Helper()
+	backEnds, stub := startDeclaringBackEndsOn(t, 1)
+	node, entry = backEnds[0].node, startEntry(t, backEnds[0])
+	born = time.Now().UnixMilli()
+	is.New(t).Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+	return node, entry, stub, born
+}
+
 // checkClosed checks that no request reaches the back end of a node.
 func checkClosed(t *testing.T, node, entry *platformNode) {
 	t.Helper()
@@ -59,10 +70,7 @@
 	for name, leave := range leavings {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			backEnd := startDeclaringBackEnds(t, 1)[0]
-			node, entry := backEnd.node, startEntry(t, backEnd)
-			born := time.Now().UnixMilli()
-			is.Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+			node, entry, _, born := startNodeAndEntry(t)
 			awaitAcknowledged(t, func() int { return leave(node, born) })
 			restartAll(node, entry)
 			awaitReadiness(t, node, entry)
@@ -80,10 +88,7 @@
 	for name, leave := range leavings {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			backEnd := startDeclaringBackEnds(t, 1)[0]
-			node, entry := backEnd.node, startEntry(t, backEnd)
-			born := time.Now().UnixMilli()
-			is.Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+			node, entry, _, born := startNodeAndEntry(t)
 			awaitAcknowledged(t, func() int { return leave(node, born) })
 			restartAll(node)
 			awaitReadiness(t, node)
@@ -99,10 +104,7 @@
 	for name, leave := range leavings {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			backEnds, stub := startDeclaringBackEndsOn(t, 1)
-			node, entry := backEnds[0].node, startEntry(t, backEnds[0])
-			born := time.Now().UnixMilli()
-			is.Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+			node, entry, stub, born := startNodeAndEntry(t)
 			stub.SetFaults(metastore.Faults{Down: true})
 			is.Equal(leave(node, born), http.StatusServiceUnavailable)
 			time.Sleep(drainTime)
@@ -118,10 +120,7 @@
 // although peers know that it has not left.
 func TestRestartWhileStoreIsAway(t *testing.T) {
 	is := is.New(t)
-	backEnds, stub := startDeclaringBackEndsOn(t, 1)
-	node, entry := backEnds[0].node, startEntry(t, backEnds[0])
-	born := time.Now().UnixMilli()
-	is.Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+	node, entry, stub, born := startNodeAndEntry(t)
 	entry.getUntilServed(t, "/front/x", "")
 	stub.SetFaults(metastore.Faults{Down: true})
 	restartAll(node)
@@ -135,10 +134,7 @@
 // processes have ended and the store comes back for another process first, from which the policy is learned.
 func TestRecallBeforePolicyOfPeer(t *testing.T) {
 	is := is.New(t)
-	backEnds, stub := startDeclaringBackEndsOn(t, 1)
-	node, entry := backEnds[0].node, startEntry(t, backEnds[0])
-	born := time.Now().UnixMilli()
-	is.Equal(node.heartbeatOf(born, 100, "ready"), http.StatusOK)
+	node, entry, stub, born := startNodeAndEntry(t)
 	awaitAcknowledged(t, func() int { return node.deregister(born) })
 	node.kill()
 	restartAll(entry)
--- a/kernel/services.go
+++ b/kernel/services.go
@@ -77,7 +77,7 @@
 	RecallPredecessor(now time.Time, predecessor membership.Member)
 	// RecallFromPeer reports that a peer has told of all processes that it knows to have run here
 	// before. It had been running for some time when this process started. It is called on the control loop.
-	RecallFromPeer(now time.Time, running time.Duration)
+	RecallFromPeer(running time.Duration)
 	// ObserveReplacement reports that the back end with the id actual refused a request sent to
 	// the incarnation expected.
 	ObserveReplacement(expected, actual string)
--- a/membership/config.go
+++ b/membership/config.go
@@ -73,7 +73,7 @@
 
 	// OnSynced is called when a peer has answered a Sync, so that OnPredecessor was called for each
 	// process that the peer knows to have run at the address of this one. May be nil.
-	OnSynced func(now time.Time, peer Member)
+	OnSynced func(peer Member)
 }
 
 // GossipsPerProbe is the default number of gossip intervals in a probe interval.
@@ -110,6 +110,6 @@
 		c.OnPredecessor = func(time.Time, Member) {}
 	}
 	if c.OnSynced == nil {
-		c.OnSynced = func(time.Time, Member) {}
+		c.OnSynced = func(Member) {}
 	}
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -210,7 +210,7 @@
 				recalled = append(recalled, *predecessor.LeftBackEnd)
 			}
 		},
-		OnSynced: func(_ time.Time, peer Member) {
+		OnSynced: func(peer Member) {
 			is.True(len(recalled) > 0) // told before
 			synced = append(synced, peer.ID)
 		},
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -144,7 +144,7 @@
 		m.handleProbeReply(now, sent, reply)
 	}
 	if sent.Message.Kind == Sync {
-		m.config.OnSynced(now, reply.From)
+		m.config.OnSynced(reply.From)
 		return m.pushMissing(sent.To, reply)
 	}
 	if reply.Digest != m.digests.combined() && sent.Message.Kind == Ping && now.Sub(m.lastSync) >= m.config.SyncInterval {
--- a/plugin/instance/recall.go
+++ b/plugin/instance/recall.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"time"
 
 	"github.com/loomcleat/loomcleat/clock"
@@ -32,7 +33,7 @@
 }
 
 // RecallFromPeer implements kernel.BackEnd.
-func (p *plugin) RecallFromPeer(_ time.Time, running time.Duration) { p.recalling.ObservePeer(running) }
+func (p *plugin) RecallFromPeer(running time.Duration) { p.recalling.ObservePeer(running) }
 
 // recallStart passes on to the tracker that a start had left. It runs on the control loop.
 func (p *plugin) recallStart(now time.Time, left instance.Start, source string) {
@@ -61,6 +62,15 @@
 	}
 }
 
+// awaitRecall checks whether the starts that had left are known until they are, or ctx is done.
+func (p *plugin) awaitRecall(ctx context.Context) {
+	for p.State().Unconfirmed && ctx.Err() == nil {
+		// The only errors are that ctx is done or the loop has stopped.
+		_ = p.process.Loop.Do(ctx, p.checkRecall)
+		kernel.Pause(ctx, recallCheckInterval)
+	}
+}
+
 // checkRecall opens the back end if the store does not answer and peers know enough. It runs on the control
 // loop.
 func (p *plugin) checkRecall(now time.Time) {
--- a/plugin/instance/record.go
+++ b/plugin/instance/record.go
@@ -11,6 +11,7 @@
 
 	"github.com/loomcleat/loomcleat/instance"
 	"github.com/loomcleat/loomcleat/kernel"
+	"github.com/loomcleat/loomcleat/membership"
 	"github.com/loomcleat/loomcleat/result"
 	"github.com/loomcleat/loomcleat/store"
 	"github.com/loomcleat/loomcleat/wire"
@@ -38,6 +39,9 @@
 	key   string
 	// Wakes the goroutine that writes.
 	due chan struct{}
+	// The entry in the store, if it is known. The goroutine that writes owns both.
+	entry      store.Entry
+	entryKnown bool
 
 	// Guards the fields below.
 	mutex sync.Mutex
@@ -47,9 +51,8 @@
 	changes, stored uint64
 	// Closed when stored grows.
 	progress chan struct{}
-	// The entry in the store, if it is known.
-	entry      store.Entry
-	entryKnown bool
+	// The store was restored from an older copy, so that what is known of its entry does not hold.
+	restored bool
 }
 
 func newLeftRecord(keyValues store.Store, backEnd string) *leftRecord {
@@ -122,7 +125,7 @@
 func (r *leftRecord) forgetStored() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.entryKnown = false
+	r.restored = true
 	if len(r.wanted) == 0 {
 		return
 	}
@@ -130,31 +133,34 @@
 	time.AfterFunc(rand.N(storeAgainSpread), func() { kernel.Wake(r.due) })
 }
 
-// setEntry sets what is known of the entry in the store.
-func (r *leftRecord) setEntry(entry store.Entry, known bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.entry, r.entryKnown = entry, known
-}
-
-// plan returns the entry in the store, if it is known, and the changes to be written.
-func (r *leftRecord) plan() (entry store.Entry, known bool, wanted []instance.Start, changes uint64) {
+// takeChanges returns the changes to be written, and whether the store was restored since the last call.
+func (r *leftRecord) takeChanges() (wanted []instance.Start, changes uint64, restored bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.entry, r.entryKnown, r.wanted, r.changes
+	restored, r.restored = r.restored, false
+	return r.wanted, r.changes, restored
 }
 
-// write writes wanted to the store, whose entry is the given one. It reports whether the store has it now.
-func (r *leftRecord) write(ctx context.Context, entry store.Entry, wanted []instance.Start) (bool, error) {
-	value, err := encodeRecord(mergeStarts(decodeRecord(entry.Value), wanted))
+// write writes what the entry lacks of the changes. It returns false if the entry has to be read again.
+func (r *leftRecord) write(ctx context.Context) (bool, error) {
+	wanted, changes, restored := r.takeChanges()
+	if restored {
+		r.entryKnown = false
+		return false, nil
+	}
+	value, err := encodeRecord(mergeStarts(decodeRecord(r.entry.Value), wanted))
 	if err != nil {
 		return false, err
 	}
-	if len(wanted) == 0 || bytes.Equal(value, entry.Value) {
-		return true, nil
+	if len(wanted) > 0 && !bytes.Equal(value, r.entry.Value) {
+		r.entryKnown = false // its index is not known after the write
+		written, err := r.store.CompareAndSwap(ctx, r.key, value, r.entry.Index)
+		if !written || err != nil {
+			return false, err
+		}
 	}
-	r.setEntry(store.Entry{}, false) // its index is not known after the write
-	return r.store.CompareAndSwap(ctx, r.key, value, entry.Index)
+	r.setStored(changes)
+	return true, nil
 }
 
 // mergeStarts returns the latest starts of both lists, later ones at the end.
@@ -167,7 +173,7 @@
 func encodeRecord(starts []instance.Start) ([]byte, error) {
 	record := wire.LeftBackEnds{}
 	for _, start := range starts {
-		record.Starts = append(record.Starts, wire.LeftBackEnd(start))
+		record.Starts = append(record.Starts, membership.BackEndStart(start))
 	}
 	return json.Marshal(record)
 }
--- a/plugin/instance/record_test.go
+++ b/plugin/instance/record_test.go
@@ -183,3 +183,36 @@
 	is.True(!known(membership.Member{Down: true, LeftBackEnd: &membership.BackEndStart{ID: "a", Born: 10}}))
 	is.True(known(membership.Member{}))
 }
+
+// TestRecallWaitsForControlLoop guards against what the store tells of back ends that have left being lost, since
+// the queue of the control loop was full when it was read.
+func TestRecallWaitsForControlLoop(t *testing.T) {
+	is := is.New(t)
+	stub := metastore.NewServer()
+	server := httptest.NewServer(stub.Handler())
+	t.Cleanup(server.Close)
+	client := platform.NewClient(platform.Config{Address: server.Listener.Addr().String()})
+	t.Cleanup(client.Close)
+	process, err := kernel.New(kernel.Options{Settings: nodeSettings(), Log: event.Discard(), Store: client})
+	is.NoErr(err)
+	t.Cleanup(process.Kill)
+	process.Mesh = stubMesh{}
+	p := process.BackEnd.(*plugin)
+	blocked := make(chan struct{})
+	for process.Loop.Post(func(time.Time) { <-blocked }) {
+	}
+	is.True(p.readRecord(expired(t)) != nil) // the queue is full
+	is.True(!p.record.entryKnown)            // it is read again
+	close(blocked)
+	go func() { _ = process.Start(context.Background()) }()
+	is.NoErr(p.heartbeat(t, 10, false))
+	p.awaitOpen(t)
+}
+
+// expired returns a context that ends while the control loop is waited for.
+func expired(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), firstStoreTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/plugin/instance/setup.go
+++ b/plugin/instance/setup.go
@@ -38,7 +38,7 @@
 		p.record = newLeftRecord(process.Store, process.Settings.Backend)
 		process.OnStart(p.keepRecord)
 		process.OnStoreRestored(p.record.forgetStored)
-		process.Loop.Every(recallCheckInterval, p.checkRecall)
+		process.OnStart(p.awaitRecall)
 	}
 	initial := p.tracker.State()
 	p.state.Store(&initial)
--- a/plugin/instance/sync.go
+++ b/plugin/instance/sync.go
@@ -49,28 +49,29 @@
 	}
 }
 
-// sync reads the record, unless it is known, and writes what it lacks. It returns false if another process
-// changed the record meanwhile.
+// sync reads the record, unless it is known, and writes what it lacks. It returns false if the record has to be
+// read again.
 func (p *plugin) sync(ctx context.Context, timeout time.Duration) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	entry, known, _, _ := p.record.plan()
-	if !known {
-		read, err := p.record.store.Get(ctx, p.record.key)
-		if err != nil {
-			return false, err
-		}
-		entry = read
-		p.record.setEntry(entry, true)
-		stored := decodeRecord(entry.Value)
-		if err := p.process.Loop.Do(ctx, func(now time.Time) { p.recallStored(now, stored) }); err != nil {
+	if !p.record.entryKnown {
+		if err := p.readRecord(ctx); err != nil {
 			return false, err
 		}
 	}
-	_, _, wanted, changes := p.record.plan()
-	done, err := p.record.write(ctx, entry, wanted)
-	if done {
-		p.record.setStored(changes)
+	return p.record.write(ctx)
+}
+
+// readRecord reads the record and passes on to the tracker what it tells. Until both are done, it is not known.
+func (p *plugin) readRecord(ctx context.Context) error {
+	entry, err := p.record.store.Get(ctx, p.record.key)
+	if err != nil {
+		return err
+	}
+	stored := decodeRecord(entry.Value)
+	if err := p.process.Loop.Do(ctx, func(now time.Time) { p.recallStored(now, stored) }); err != nil {
+		return err
 	}
-	return done, err
+	p.record.entry, p.record.entryKnown = entry, true
+	return nil
 }
--- a/plugin/membership/setup.go
+++ b/plugin/membership/setup.go
@@ -113,10 +113,10 @@
 }
 
 // recordSynced passes on that a peer has told all processes that it knows to have run here before.
-func (m *mesh) recordSynced(now time.Time, peer membership.Member) {
+func (m *mesh) recordSynced(peer membership.Member) {
 	if m.process.BackEnd != nil {
 		running := time.Duration(m.stateMachine.Self().Generation-peer.Generation) * time.Millisecond
-		m.process.BackEnd.RecallFromPeer(now, running)
+		m.process.BackEnd.RecallFromPeer(running)
 	}
 }
 
--- a/transport/exchange/conn.go
+++ b/transport/exchange/conn.go
@@ -155,7 +155,9 @@
 		c.discard()
 		return nil, c.causeOf(err)
 	}
-	c.recordHead()
+	if c.upload != nil {
+		c.recordHead()
+	}
 	response.Body = c.newBody(response)
 	return response, nil
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -126,12 +126,5 @@
 // store.
 type LeftBackEnds struct {
 	// Starts has the latest one at the end.
-	Starts []LeftBackEnd `json:"starts"`
-}
-
-// LeftBackEnd is a start of a back end that has announced that it leaves.
-type LeftBackEnd struct {
-	ID string `json:"id"`
-	// Born is when it started, in Unix milliseconds by its clock, 0 if unknown.
-	Born int64 `json:"born,omitempty"`
+	Starts []membership.BackEndStart `json:"starts"`
 }
